--- /dev/null
+++ b/src/config/validate.rs
@@ -0,0 +1,247 @@
+//! Validation of a whole set of resources.
+//!
+//! Looking at single writes is not enough: a delete can strand a route that
+//! the batch does not mention. So the check runs on the set that would result,
+//! and the first thing wrong rejects the change whole.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::change::Expectation;
+use crate::config::fold::HeldResource;
+use crate::config::resource::{
+    MAX_DEADLINE_MS, MAX_SLOTS, PolicySpec, Resource, ResourceKey, ResourceKind, RouteSpec,
+    ServiceSpec,
+};
+use crate::ids::{Revision, ServiceName};
+
+/// The resources of one version by key.
+pub type ResourceMap = BTreeMap<ResourceKey, Arc<HeldResource>>;
+
+/// Says why a change was rejected.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum Rejection {
+    /// The record could not be decoded.
+    Undecodable(String),
+    /// The change has no writes.
+    Empty,
+    /// The change writes one resource twice.
+    WrittenTwice(ResourceKey),
+    /// A resource is not at the revision that the writer expects.
+    Conflict {
+        /// The resource.
+        key: ResourceKey,
+        /// What the writer expects.
+        expected: Expectation,
+        /// Revision held, or nothing when the resource does not exist.
+        held: Option<Revision>,
+    },
+    /// A delete names a resource that does not exist.
+    Missing(ResourceKey),
+    /// A resource names a service that does not exist.
+    NoService {
+        /// The resource that names it.
+        key: ResourceKey,
+        /// The service.
+        service: ServiceName,
+    },
+    /// Two routes match the same host and path.
+    SameMatch {
+        /// One route.
+        one: ResourceKey,
+        /// The other route.
+        other: ResourceKey,
+    },
+    /// A value is out of its range.
+    OutOfRange {
+        /// The resource.
+        key: ResourceKey,
+        /// Name of the field.
+        field: String,
+        /// What is allowed.
+        allowed: String,
+    },
+}
+
+impl fmt::Display for Rejection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Rejection::Undecodable(why) => write!(f, "undecodable record: {why}"),
+            Rejection::Empty => f.write_str("the change has no writes"),
+            Rejection::WrittenTwice(key) => write!(f, "{key} is written twice in one change"),
+            Rejection::Conflict {
+                key,
+                expected,
+                held,
+            } => write_conflict(f, key, expected, *held),
+            Rejection::Missing(key) => write!(f, "{key} does not exist"),
+            Rejection::NoService { key, service } => {
+                write!(f, "{key} names service/{service}, which does not exist")
+            }
+            Rejection::SameMatch { one, other } => {
+                write!(f, "{one} and {other} match the same host and path")
+            }
+            Rejection::OutOfRange {
+                key,
+                field,
+                allowed,
+            } => write!(f, "{key}: {field} is out of range, allowed: {allowed}"),
+        }
+    }
+}
+
+fn write_conflict(
+    f: &mut fmt::Formatter<'_>,
+    key: &ResourceKey,
+    expected: &Expectation,
+    held: Option<Revision>,
+) -> fmt::Result {
+    match expected {
+        Expectation::Any => write!(f, "{key}: expected anything")?,
+        Expectation::Absent => write!(f, "{key}: expected absent")?,
+        Expectation::At(revision) => write!(f, "{key}: expected revision {revision}")?,
+    }
+    match held {
+        Some(revision) => write!(f, ", held is revision {revision}"),
+        None => f.write_str(", held is nothing"),
+    }
+}
+
+impl std::error::Error for Rejection {}
+
+/// Checks a whole set of resources.
+pub fn validate(resources: &ResourceMap) -> Result<(), Rejection> {
+    let mut matches = BTreeMap::new();
+    for (key, held) in resources {
+        match &held.resource {
+            Resource::Service(spec) => check_service(key, spec)?,
+            Resource::Policy(spec) => check_policy(key, spec, resources)?,
+            Resource::Route(spec) => {
+                check_route(key, spec, resources)?;
+                let place = (
+                    spec.host.clone(),
+                    normal_path(spec.path.as_str()).to_owned(),
+                );
+                if let Some(other) = matches.insert(place, key.clone()) {
+                    return Err(Rejection::SameMatch {
+                        one: other,
+                        other: key.clone(),
+                    });
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Returns a path prefix without its trailing slash, so that `/a` and `/a/`
+/// are one match.
+pub fn normal_path(path: &str) -> &str {
+    path.strip_suffix('/').unwrap_or(path)
+}
+
+fn check_service(key: &ResourceKey, spec: &ServiceSpec) -> Result<(), Rejection> {
+    let slots = spec.max_slots.0;
+    require(
+        key,
+        "max_slots",
+        "1 to 4096",
+        (1..=MAX_SLOTS).contains(&slots),
+    )?;
+    require(
+        key,
+        "max_connections",
+        "1 or more",
+        spec.max_connections > 0,
+    )?;
+    require(
+        key,
+        "retry_percent",
+        "0 to 100",
+        spec.retry_percent.0 <= 100,
+    )
+}
+
+fn check_route(
+    key: &ResourceKey,
+    spec: &RouteSpec,
+    resources: &ResourceMap,
+) -> Result<(), Rejection> {
+    let mut names = BTreeSet::new();
+    let mut total: u64 = 0;
+    for weighted in &spec.services {
+        require_service(key, &weighted.service, resources)?;
+        let is_new = names.insert(&weighted.service);
+        require(key, "services", "each service once", is_new)?;
+        total += u64::from(weighted.weight);
+    }
+    require(key, "services", "weights with a sum above 0", total > 0)?;
+    let deadline = (1..=MAX_DEADLINE_MS).contains(&spec.deadline_ms);
+    require(key, "deadline_ms", "1 to 3600000", deadline)?;
+    require(
+        key,
+        "max_concurrent",
+        "1 or more",
+        spec.max_concurrent != Some(0),
+    )
+}
+
+fn check_policy(
+    key: &ResourceKey,
+    spec: &PolicySpec,
+    resources: &ResourceMap,
+) -> Result<(), Rejection> {
+    require_service(key, &spec.service, resources)?;
+    require(
+        key,
+        "slow_start_ms",
+        "0 to 600000",
+        spec.slow_start_ms <= 600_000,
+    )?;
+    require(key, "eject_after", "1 or more", spec.eject_after > 0)?;
+    let base = (1..=60_000).contains(&spec.eject_base_ms);
+    require(key, "eject_base_ms", "1 to 60000", base)?;
+    require(
+        key,
+        "eject_max_share",
+        "0 to 100",
+        spec.eject_max_share.0 <= 100,
+    )?;
+    require(
+        key,
+        "spill_enter",
+        "1 to 100",
+        (1..=100).contains(&spec.spill_enter.0),
+    )?;
+    let leave = spec.spill_leave < spec.spill_enter;
+    require(key, "spill_leave", "less than spill_enter", leave)
+}
+
+fn require(key: &ResourceKey, field: &str, allowed: &str, holds: bool) -> Result<(), Rejection> {
+    if holds {
+        return Ok(());
+    }
+    Err(Rejection::OutOfRange {
+        key: key.clone(),
+        field: field.to_owned(),
+        allowed: allowed.to_owned(),
+    })
+}
+
+fn require_service(
+    key: &ResourceKey,
+    service: &ServiceName,
+    resources: &ResourceMap,
+) -> Result<(), Rejection> {
+    if resources.contains_key(&ResourceKey::new(ResourceKind::Service, service.as_str())) {
+        return Ok(());
+    }
+    Err(Rejection::NoService {
+        key: key.clone(),
+        service: service.clone(),
+    })
+}
--- /dev/null
+++ b/src/gate/ledger.rs
@@ -0,0 +1,268 @@
+//! What a gate remembers of the calls it was given.
+//!
+//! A node that loses its exchange with a gate can ask what became of the call.
+//! If the call has not started, asking revokes it: the gate will never start
+//! it, and the asker may truthfully say `not-run`. If it runs or ran, the
+//! asker gets the answer. So a cut link between two nodes loses no call.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use tokio::sync::watch;
+
+use crate::clock::{SharedClock, lock};
+use crate::gate::outcome::RefusalReason;
+use crate::ids::CallId;
+use crate::invariant::{Rule, check};
+
+/// How long an answer is kept for a node that lost its exchange.
+pub const ANSWER_TIME: Duration = Duration::from_secs(30);
+
+/// How long a revoked call stays revoked. Its request can still sit in a
+/// socket buffer, but not for as long as this.
+pub const REVOKED_TIME: Duration = Duration::from_secs(600);
+
+/// Most calls remembered.
+pub const LEDGER_LIMIT: usize = 65_536;
+
+/// Largest answer body kept, in bytes.
+pub const BODY_LIMIT: usize = 256 * 1024;
+
+/// Most bytes of answers kept.
+pub const KEPT_LIMIT: usize = 16 * 1024 * 1024;
+
+record! {
+    /// How a call ended.
+    pub enum CallEnd {
+        /// The target answered.
+        Answered(KeptAnswer),
+        /// The call was refused before it started.
+        Refused(RefusalReason),
+        /// The exchange with the target was lost after it started.
+        Lost,
+        /// The target answered, but the answer is too large to keep.
+        TooLarge,
+    }
+
+    /// A whole answer.
+    pub struct KeptAnswer {
+        /// HTTP status.
+        pub status: u16,
+        /// Names and values of the headers.
+        pub headers: Vec<(Bytes, Bytes)>,
+        /// Body.
+        pub body: Bytes,
+    }
+}
+
+#[derive(Debug)]
+enum CallState {
+    Waiting(watch::Receiver<Option<Arc<CallEnd>>>),
+    Revoked,
+    Running(watch::Receiver<Option<Arc<CallEnd>>>),
+    Ended(Arc<CallEnd>),
+}
+
+/// What a gate knows of a call that it is asked about.
+#[derive(Debug)]
+pub enum CallInquiry {
+    /// The call never started and never will.
+    NotRun(RefusalReason),
+    /// The call waits or runs; the receiver gets its end.
+    Running(watch::Receiver<Option<Arc<CallEnd>>>),
+    /// The call ended.
+    Ended(Arc<CallEnd>),
+    /// The gate cannot say.
+    Unknown,
+}
+
+#[derive(Debug, Default)]
+struct LedgerState {
+    calls: HashMap<CallId, CallState>,
+    expiry: VecDeque<(Instant, CallId)>,
+    kept: usize,
+}
+
+/// The calls of one gate; a cheap handle.
+#[derive(Debug, Clone)]
+pub struct CallLedger {
+    state: Arc<Mutex<LedgerState>>,
+    clock: SharedClock,
+}
+
+/// A call that was entered; entering ends when it is dropped unstarted.
+#[derive(Debug)]
+pub struct CallTicket {
+    ledger: CallLedger,
+    call: CallId,
+    sender: watch::Sender<Option<Arc<CallEnd>>>,
+    is_started: bool,
+    is_ended: bool,
+}
+
+impl CallLedger {
+    /// Returns an empty ledger.
+    pub fn new(clock: SharedClock) -> Self {
+        Self {
+            state: Arc::default(),
+            clock,
+        }
+    }
+
+    /// Enters a call.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusalReason::Revoked`] when the call was revoked or entered before,
+    /// [`RefusalReason::Saturated`] when the ledger is full.
+    pub fn enter(&self, call: CallId) -> Result<CallTicket, RefusalReason> {
+        let mut state = lock(&self.state);
+        state.expire(self.clock.now());
+        if state.calls.contains_key(&call) {
+            return Err(RefusalReason::Revoked);
+        }
+        if state.calls.len() >= LEDGER_LIMIT {
+            return Err(RefusalReason::Saturated);
+        }
+        let (sender, receiver) = watch::channel(None);
+        state.calls.insert(call, CallState::Waiting(receiver));
+        Ok(CallTicket {
+            ledger: self.clone(),
+            call,
+            sender,
+            is_started: false,
+            is_ended: false,
+        })
+    }
+
+    /// Asks about a call and revokes it if it has not started.
+    pub fn revoke(&self, call: CallId) -> CallInquiry {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        state.expire(now);
+        let is_full = state.calls.len() >= LEDGER_LIMIT;
+        match state.calls.get(&call) {
+            Some(CallState::Running(receiver)) => return CallInquiry::Running(receiver.clone()),
+            Some(CallState::Ended(end)) => return ended(end),
+            Some(CallState::Revoked) => return CallInquiry::NotRun(RefusalReason::Revoked),
+            Some(CallState::Waiting(_)) => {}
+            None if is_full => return CallInquiry::Unknown,
+            None => {}
+        }
+        state.calls.insert(call, CallState::Revoked);
+        state.expiry.push_back((now + REVOKED_TIME, call));
+        CallInquiry::NotRun(RefusalReason::Revoked)
+    }
+
+    /// Asks about a call without revoking it. A call that the ledger does not
+    /// know may have run and been forgotten.
+    pub fn inquire(&self, call: CallId) -> CallInquiry {
+        match lock(&self.state).calls.get(&call) {
+            Some(CallState::Waiting(receiver) | CallState::Running(receiver)) => {
+                CallInquiry::Running(receiver.clone())
+            }
+            Some(CallState::Ended(end)) => ended(end),
+            Some(CallState::Revoked) => CallInquiry::NotRun(RefusalReason::Revoked),
+            None => CallInquiry::Unknown,
+        }
+    }
+}
+
+fn ended(end: &Arc<CallEnd>) -> CallInquiry {
+    match end.as_ref() {
+        CallEnd::Refused(reason) => CallInquiry::NotRun(*reason),
+        CallEnd::Answered(_) | CallEnd::Lost | CallEnd::TooLarge => {
+            CallInquiry::Ended(Arc::clone(end))
+        }
+    }
+}
+
+impl LedgerState {
+    fn expire(&mut self, now: Instant) {
+        while let Some((when, call)) = self.expiry.front().copied() {
+            // Revoked calls wait longer than answers, so the queue is not in
+            // strict order; what is found late only stays a little longer.
+            if when > now && self.calls.len() < LEDGER_LIMIT / 2 {
+                return;
+            }
+            if when > now && matches!(self.calls.get(&call), Some(CallState::Revoked)) {
+                return;
+            }
+            self.expiry.pop_front();
+            if let Some(CallState::Ended(end)) = self.calls.remove(&call) {
+                self.kept -= kept_bytes(&end);
+            }
+        }
+    }
+}
+
+fn kept_bytes(end: &CallEnd) -> usize {
+    match end {
+        CallEnd::Answered(answer) => answer.body.len(),
+        CallEnd::Refused(_) | CallEnd::Lost | CallEnd::TooLarge => 0,
+    }
+}
+
+impl CallTicket {
+    /// Starts the call: from here on it counts as run.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusalReason::Revoked`] when the call was revoked while it waited.
+    pub fn start(&mut self) -> Result<(), RefusalReason> {
+        let mut state = lock(&self.ledger.state);
+        check(Rule::SentOnce, !self.is_started);
+        let Some(CallState::Waiting(receiver)) = state.calls.get(&self.call) else {
+            return Err(RefusalReason::Revoked);
+        };
+        let running = CallState::Running(receiver.clone());
+        state.calls.insert(self.call, running);
+        self.is_started = true;
+        Ok(())
+    }
+
+    /// Ends the call and keeps its end for those who ask.
+    pub fn end(mut self, end: CallEnd) {
+        self.end_with(end);
+    }
+
+    fn end_with(&mut self, end: CallEnd) {
+        self.is_ended = true;
+        let is_refusal = matches!(end, CallEnd::Refused(_));
+        check(Rule::NotRunStays, !(is_refusal && self.is_started));
+        let now = self.ledger.clock.now();
+        let mut state = lock(&self.ledger.state);
+        if matches!(state.calls.get(&self.call), Some(CallState::Revoked)) {
+            drop(state);
+            let end = CallEnd::Refused(RefusalReason::Revoked);
+            self.sender.send_replace(Some(Arc::new(end)));
+            return;
+        }
+        let is_over = state.kept + kept_bytes(&end) > KEPT_LIMIT;
+        let end = Arc::new(if is_over { CallEnd::TooLarge } else { end });
+        state.kept += kept_bytes(&end);
+        state
+            .calls
+            .insert(self.call, CallState::Ended(Arc::clone(&end)));
+        state.expiry.push_back((now + ANSWER_TIME, self.call));
+        drop(state);
+        self.sender.send_replace(Some(end));
+    }
+}
+
+impl Drop for CallTicket {
+    fn drop(&mut self) {
+        if self.is_ended {
+            return;
+        }
+        // A task that was cancelled: started calls may have run.
+        let end = if self.is_started {
+            CallEnd::Lost
+        } else {
+            CallEnd::Refused(RefusalReason::Revoked)
+        };
+        self.end_with(end);
+    }
+}
--- /dev/null
+++ b/src/gate/quarantine.rs
@@ -0,0 +1,160 @@
+//! Requests that crash the targets which run them.
+//!
+//! Sending such a request on, or letting its caller send it again, takes one
+//! target after another down. A request that was running when its target's
+//! process was lost becomes suspect, and nobody retries it. After two distinct
+//! targets it is quarantined for a time. A request of the same fingerprint
+//! that ran to its end shortly before was likely only near the crash, and is
+//! left alone; one that runs to its end later is cleared. So a busy page that
+//! shares a target with a bad request keeps being served.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use crate::ids::{Fingerprint, NodeAddress};
+
+/// Distinct targets lost before a request is quarantined.
+pub const LOSSES_TO_QUARANTINE: usize = 2;
+
+/// How long a request stays quarantined.
+pub const QUARANTINE_TIME: Duration = Duration::from_secs(300);
+
+/// How long a request stays suspect.
+pub const SUSPECT_TIME: Duration = Duration::from_secs(600);
+
+/// Most suspects remembered.
+pub const SUSPECT_LIMIT: usize = 4096;
+
+/// Most fingerprints remembered as having run to their end.
+pub const SUCCESS_LIMIT: usize = 8192;
+
+/// The standing of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestStanding {
+    /// Nothing is known against it.
+    Clean,
+    /// One target was lost while running it.
+    Suspect,
+    /// It is refused until this time.
+    Quarantined(Instant),
+}
+
+#[derive(Debug)]
+struct SuspectEntry {
+    losses: HashMap<NodeAddress, u64>,
+    last: Instant,
+}
+
+/// Suspects and recent successes of one node.
+#[derive(Debug, Default)]
+pub struct SuspectTable {
+    suspects: HashMap<Fingerprint, SuspectEntry>,
+    successes: HashSet<Fingerprint>,
+    success_order: VecDeque<Fingerprint>,
+}
+
+impl SuspectTable {
+    /// Returns an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that a target was lost while it ran a request. Returns whether
+    /// that was new, so that it is spread once.
+    pub fn note_loss(
+        &mut self,
+        fingerprint: Fingerprint,
+        node: NodeAddress,
+        loss: u64,
+        now: Instant,
+    ) -> bool {
+        self.forget_old(now);
+        if self.suspects.len() >= SUSPECT_LIMIT && !self.suspects.contains_key(&fingerprint) {
+            self.drop_oldest();
+        }
+        let entry = self
+            .suspects
+            .entry(fingerprint)
+            .or_insert_with(|| SuspectEntry {
+                losses: HashMap::new(),
+                last: now,
+            });
+        match entry.losses.insert(node, loss) {
+            Some(held) if held >= loss => {
+                entry.losses.insert(node, held);
+                false
+            }
+            Some(_) | None => {
+                entry.last = now;
+                true
+            }
+        }
+    }
+
+    /// Notes that a request ran to its end. Returns whether that clears it.
+    pub fn note_success(&mut self, fingerprint: Fingerprint) -> bool {
+        if self.successes.insert(fingerprint) {
+            self.success_order.push_back(fingerprint);
+        }
+        if self.success_order.len() > SUCCESS_LIMIT
+            && let Some(oldest) = self.success_order.pop_front()
+        {
+            self.successes.remove(&oldest);
+        }
+        self.clear(fingerprint)
+    }
+
+    /// Forgets what is held against a request, unless it is quarantined: only
+    /// time ends a quarantine.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
+        match self.suspects.get(&fingerprint) {
+            Some(entry) if entry.losses.len() < LOSSES_TO_QUARANTINE => {
+                self.suspects.remove(&fingerprint);
+                true
+            }
+            Some(_) | None => false,
+        }
+    }
+
+    /// Tells whether a request ran to its end recently.
+    pub fn has_succeeded(&self, fingerprint: Fingerprint) -> bool {
+        self.successes.contains(&fingerprint)
+    }
+
+    /// Returns the standing of a request.
+    pub fn standing(&self, fingerprint: Fingerprint, now: Instant) -> RequestStanding {
+        let Some(entry) = self.suspects.get(&fingerprint) else {
+            return RequestStanding::Clean;
+        };
+        let until = entry.last + QUARANTINE_TIME;
+        if entry.losses.len() >= LOSSES_TO_QUARANTINE && now < until {
+            return RequestStanding::Quarantined(until);
+        }
+        if entry.losses.len() >= LOSSES_TO_QUARANTINE || now >= entry.last + SUSPECT_TIME {
+            return RequestStanding::Clean;
+        }
+        RequestStanding::Suspect
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        self.suspects.retain(|_, entry| {
+            let time = if entry.losses.len() >= LOSSES_TO_QUARANTINE {
+                QUARANTINE_TIME
+            } else {
+                SUSPECT_TIME
+            };
+            now < entry.last + time
+        });
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self
+            .suspects
+            .iter()
+            .min_by_key(|(_, entry)| (entry.losses.len(), entry.last))
+            .map(|(fingerprint, _)| *fingerprint);
+        if let Some(fingerprint) = oldest {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,209 @@
+//! The typed messages between nodes.
+//!
+//! Datagrams carry probes and pushes, which may be lost. Requests go over a
+//! connection, since their answers may be large and a loss must be noticed.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::CodecError;
+use crate::gate::claim::{ClaimDemand, ClaimVerdict};
+use crate::gate::ledger::CallEnd;
+use crate::gate::outcome::RefusalReason;
+use crate::ids::{CallId, ConfigVersion, DataCentre, Incarnation, LifeId, NodeAddress};
+use crate::member::record::MemberRecord;
+use crate::member::rumor::Rumor;
+
+/// Largest datagram in bytes; below the smallest usual path limit.
+pub const DATAGRAM_LIMIT: usize = 1200;
+
+/// Bytes that rumors may take in one probe.
+pub const RUMOR_BUDGET: usize = 700;
+
+/// Largest request or answer in bytes.
+pub const FRAME_LIMIT: usize = 20 * 1024 * 1024;
+
+/// Bytes of configuration records in one answer.
+pub const RECORDS_LIMIT: usize = 1024 * 1024;
+
+record! {
+    /// What a node says of its state with every probe.
+    #[derive(Copy)]
+    pub struct NodeStatus {
+        /// Version of the view in force.
+        pub version: ConfigVersion,
+        /// First bytes of the hash over the records folded.
+        pub chain: u64,
+        /// Digest over the members known.
+        pub digest: u64,
+    }
+
+    /// A message without an answer, or with one that may be lost.
+    pub enum Datagram {
+        /// Asks whether the receiver answers.
+        Ping {
+            /// Number that the answer repeats.
+            nonce: u64,
+            /// State of the sender.
+            status: NodeStatus,
+            /// News.
+            rumors: Vec<Rumor>,
+        },
+        /// Answers a ping.
+        Ack {
+            /// Number of the ping.
+            nonce: u64,
+            /// State of the sender.
+            status: NodeStatus,
+            /// News.
+            rumors: Vec<Rumor>,
+        },
+        /// Asks the receiver to ping another node on the sender's behalf.
+        PingFor {
+            /// Number that the answer repeats.
+            nonce: u64,
+            /// Node to ping.
+            target: NodeAddress,
+        },
+        /// Says that the node of a [`Datagram::PingFor`] answered.
+        AckFor {
+            /// Number of the request.
+            nonce: u64,
+        },
+        /// A configuration record.
+        Record {
+            /// Version that the record leads to.
+            version: ConfigVersion,
+            /// The record, or nothing when it is too large for a datagram.
+            record: Option<Bytes>,
+        },
+        /// Urgent news.
+        News {
+            /// The news.
+            rumors: Vec<Rumor>,
+        },
+    }
+
+    /// A request over a connection.
+    pub enum PeerRequest {
+        /// Asks for the members and the configuration, to start from them.
+        Join {
+            /// Record of the node that joins.
+            record: MemberRecord,
+        },
+        /// Compares the members of each data centre.
+        Compare {
+            /// Digests of the sender.
+            digests: BTreeMap<DataCentre, u64>,
+        },
+        /// Gives records that the receiver may lack and asks for the rest.
+        Exchange {
+            /// Data centres that differ.
+            data_centres: Vec<DataCentre>,
+            /// All records of the sender in them.
+            records: Vec<MemberRecord>,
+        },
+        /// Asks for the configuration after a version.
+        Pull {
+            /// Version that the sender holds.
+            version: ConfigVersion,
+        },
+        /// Asks which live members of the receiver's data centre lack a version.
+        Holders {
+            /// The version.
+            version: ConfigVersion,
+        },
+        /// Asks a keeper to claim or release keys.
+        Claim(ClaimDemand),
+        /// Asks what became of a call, through a node that may reach its gate.
+        Inquire {
+            /// Where the gate takes calls.
+            hop: NodeAddress,
+            /// The call.
+            call: CallId,
+            /// Life of the gate that the call went to.
+            life: LifeId,
+        },
+    }
+
+    /// The answer to a request.
+    pub enum PeerAnswer {
+        /// Try another node or come back later.
+        Busy,
+        /// The members, the state of the receiver, and the highest version
+        /// and incarnation that it saw at the sender's address.
+        Joined {
+            /// All members.
+            records: Vec<MemberRecord>,
+            /// State of the receiver.
+            status: NodeStatus,
+            /// Whether the receiver's view is current.
+            is_ready: bool,
+            /// Version last seen at the sender's address.
+            seen_version: ConfigVersion,
+            /// Incarnation last seen at the sender's address.
+            seen_incarnation: Incarnation,
+        },
+        /// The data centres whose members differ.
+        Differ(Vec<DataCentre>),
+        /// Records that the receiver holds and the sender lacks.
+        Records(Vec<MemberRecord>),
+        /// Records of the configuration, without gaps.
+        Tail {
+            /// Version that the first record leads to.
+            first: ConfigVersion,
+            /// The records.
+            records: Vec<Bytes>,
+        },
+        /// A snapshot of the configuration.
+        Snapshot(Bytes),
+        /// Who holds a version in one data centre.
+        Held(HeldReport),
+        /// What became of claims, in the order asked.
+        Claimed(Vec<ClaimVerdict>),
+        /// What a gate said of a call.
+        Inquired(InquiryAnswer),
+    }
+
+    /// What a gate says of a call that it was asked about.
+    pub enum InquiryAnswer {
+        /// The call never started and never will.
+        NotRun(RefusalReason),
+        /// The call ended.
+        Ended(CallEnd),
+        /// The gate cannot say.
+        Unknown,
+    }
+
+    /// Who holds a version in one data centre.
+    pub struct HeldReport {
+        /// The data centre.
+        pub data_centre: DataCentre,
+        /// Live members that hold the version.
+        pub holders: u32,
+        /// Live members that do not, or did not answer.
+        pub laggards: Vec<NodeAddress>,
+    }
+}
+
+/// Encodes a message.
+pub fn encode<T>(message: &T) -> Result<Vec<u8>, CodecError>
+where
+    T: Serialize,
+{
+    postcard::to_stdvec(message).map_err(|_| CodecError::Malformed)
+}
+
+/// Decodes a message; bytes left over are an error.
+pub fn decode<T>(bytes: &[u8]) -> Result<T, CodecError>
+where
+    T: DeserializeOwned,
+{
+    match postcard::take_from_bytes(bytes) {
+        Ok((message, [])) => Ok(message),
+        Ok(_) | Err(_) => Err(CodecError::Malformed),
+    }
+}
--- /dev/null
+++ b/src/route/load.rs
@@ -0,0 +1,233 @@
+//! What a node saw of each target: calls under way, reported load, latency
+//! and failures.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::{Duration, Instant};
+
+use crate::clock::lock;
+use crate::config::resource::PolicySpec;
+use crate::config::view::TargetEntry;
+use crate::ids::{Incarnation, NodeAddress, ServiceName};
+
+/// How long a reported load is believed.
+pub const REPORT_TIME: Duration = Duration::from_secs(2);
+
+/// How long a target that said it is full is passed over.
+pub const FULL_TIME: Duration = Duration::from_millis(20);
+
+/// Longest ejection.
+pub const LONGEST_EJECTION: Duration = Duration::from_secs(60);
+
+/// Share of the latency mean that a new sample gets.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// What a node saw of one target in one life of its node.
+#[derive(Debug, Clone)]
+pub struct TargetLoad {
+    /// Life of the node beside the target.
+    pub incarnation: Incarnation,
+    /// Calls of this node that are under way.
+    pub in_flight: u32,
+    /// Calls that the gate last said were running or waiting, of this node
+    /// and others, with the calls of this node at that time.
+    report: Option<(Instant, u32, u32)>,
+    /// Mean time to an answer, in seconds.
+    pub latency: f64,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+    full_until: Option<Instant>,
+}
+
+impl TargetLoad {
+    fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            in_flight: 0,
+            report: None,
+            latency: 0.0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+            full_until: None,
+        }
+    }
+
+    /// Returns the calls that the target is believed to have.
+    pub fn busy(&self, now: Instant) -> u32 {
+        match self.report {
+            Some((when, busy, own)) if now.duration_since(when) < REPORT_TIME => {
+                busy.saturating_sub(own).saturating_add(self.in_flight)
+            }
+            Some(_) | None => self.in_flight,
+        }
+    }
+
+    /// Tells whether the target is ejected.
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Tells whether the target just said that it is full.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+}
+
+/// How an attempt ended, as far as the choice of targets cares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// The target answered.
+    Answered,
+    /// The gate refused because it is full.
+    Full,
+    /// The gate refused for a reason that says nothing about its health.
+    Refused,
+    /// The target or its gate could not be reached or lost the exchange.
+    Failed,
+}
+
+/// What a node saw of the targets of one service.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceLoad {
+    targets: HashMap<NodeAddress, TargetLoad>,
+    /// Furthest distance that calls go to.
+    pub reach: u8,
+}
+
+impl ServiceLoad {
+    /// Returns what was seen of a target; nothing from an earlier life.
+    pub fn get(&mut self, target: &TargetEntry) -> &mut TargetLoad {
+        let load = self
+            .targets
+            .entry(target.node)
+            .or_insert_with(|| TargetLoad::new(target.incarnation));
+        if load.incarnation < target.incarnation {
+            let in_flight = load.in_flight;
+            *load = TargetLoad::new(target.incarnation);
+            load.in_flight = in_flight;
+        }
+        load
+    }
+
+    /// Forgets targets that the view no longer has.
+    pub fn retain_targets(&mut self, targets: &[TargetEntry]) {
+        self.targets.retain(|node, load| {
+            load.in_flight > 0 || targets.iter().any(|target| target.node == *node)
+        });
+    }
+
+    /// Counts an attempt that starts.
+    pub fn begin(&mut self, target: &TargetEntry) {
+        self.get(target).in_flight += 1;
+    }
+
+    /// Counts an attempt that ended without touching the standing of its target.
+    pub fn leave(&mut self, node: NodeAddress) {
+        if let Some(load) = self.targets.get_mut(&node) {
+            load.in_flight = load.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes the load that a gate reported with its answer.
+    pub fn note_report(&mut self, node: NodeAddress, busy: u32, now: Instant) {
+        if let Some(load) = self.targets.get_mut(&node) {
+            load.report = Some((now, busy, load.in_flight));
+        }
+    }
+
+    /// Takes the result of an attempt, and ejects the target when it failed
+    /// too often. At most the policy's share of `all` targets is ejected.
+    /// Returns the ejection time when it ejects.
+    pub fn note_result(
+        &mut self,
+        target: &TargetEntry,
+        result: AttemptResult,
+        took: Duration,
+        policy: &PolicySpec,
+        all: usize,
+        now: Instant,
+    ) -> Option<Duration> {
+        let load = self.get(target);
+        match result {
+            AttemptResult::Answered => {
+                let sample = took.as_secs_f64();
+                load.latency += (sample - load.latency) * LATENCY_WEIGHT;
+                load.failures = 0;
+                load.ejections = 0;
+                None
+            }
+            AttemptResult::Full => {
+                load.full_until = Some(now + FULL_TIME);
+                None
+            }
+            AttemptResult::Refused => None,
+            AttemptResult::Failed => {
+                load.failures += 1;
+                let is_due = load.failures >= policy.eject_after && !load.is_ejected(now);
+                if is_due && self.may_eject(policy, all, now) {
+                    return Some(self.eject(target, policy, now));
+                }
+                None
+            }
+        }
+    }
+
+    /// Returns the number of targets that are ejected.
+    pub fn ejected(&self, now: Instant) -> usize {
+        self.targets
+            .values()
+            .filter(|load| load.is_ejected(now))
+            .count()
+    }
+
+    fn may_eject(&self, policy: &PolicySpec, all: usize, now: Instant) -> bool {
+        (self.ejected(now) + 1) * 100 <= all * usize::from(policy.eject_max_share.0)
+    }
+
+    fn eject(&mut self, target: &TargetEntry, policy: &PolicySpec, now: Instant) -> Duration {
+        let load = self.get(target);
+        let factor = 1_u32 << load.ejections.min(10);
+        let time = (Duration::from_millis(policy.eject_base_ms) * factor).min(LONGEST_EJECTION);
+        load.ejections += 1;
+        // One more failure after the ejection ejects again, for longer.
+        load.failures = policy.eject_after - 1;
+        load.ejected_until = Some(now + time);
+        time
+    }
+}
+
+/// What a node saw of all targets; a cheap handle.
+#[derive(Debug, Clone, Default)]
+pub struct LoadBook {
+    services: Arc<RwLock<HashMap<ServiceName, Arc<Mutex<ServiceLoad>>>>>,
+}
+
+impl LoadBook {
+    /// Returns an empty book.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the page of a service.
+    pub fn service(&self, name: &ServiceName) -> Arc<Mutex<ServiceLoad>> {
+        let services = self.services.read().unwrap_or_else(|e| e.into_inner());
+        if let Some(load) = services.get(name) {
+            return Arc::clone(load);
+        }
+        drop(services);
+        let mut services = self.services.write().unwrap_or_else(|e| e.into_inner());
+        Arc::clone(services.entry(name.clone()).or_default())
+    }
+
+    /// Runs `f` on the page of a service.
+    pub fn with<F, T>(&self, name: &ServiceName, f: F) -> T
+    where
+        F: FnOnce(&mut ServiceLoad) -> T,
+    {
+        let service = self.service(name);
+        let mut load = lock(&service);
+        f(&mut load)
+    }
+}
--- /dev/null
+++ b/testing/src/bin/target-standin.rs
@@ -0,0 +1,236 @@
+//! A stand-in for a target: announces itself, runs calls as their headers
+//! say, and notes each run in a file that outlives it.
+
+use std::convert::Infallible;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Result, eyre};
+use gumdrop::Options;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use wisteriaturn_testing::client;
+
+/// How often the target announces itself.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Longest wait for calls in flight when the target leaves.
+const LEAVE_TIME: Duration = Duration::from_secs(30);
+
+#[derive(Debug, Options)]
+struct TargetOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address to listen on", meta = "ADDRESS")]
+    listen: Option<SocketAddr>,
+    #[options(help = "admin address of the node beside", meta = "ADDRESS")]
+    admin: Option<SocketAddr>,
+    #[options(help = "ingress address of the node beside", meta = "ADDRESS")]
+    ingress: Option<SocketAddr>,
+    #[options(help = "service to announce", meta = "NAME")]
+    service: String,
+    #[options(help = "calls run at once", meta = "COUNT", default = "6")]
+    slots: u16,
+    #[options(help = "file that gets a line for each run", meta = "FILE")]
+    runs: Option<PathBuf>,
+}
+
+#[derive(Debug)]
+struct TargetState {
+    address: SocketAddr,
+    admin: SocketAddr,
+    ingress: Option<SocketAddr>,
+    service: String,
+    slots: u16,
+    runs: Option<PathBuf>,
+    running: AtomicUsize,
+    is_leaving: AtomicBool,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<()> {
+    let options = TargetOptions::parse_args_default_or_exit();
+    let address = options.listen.ok_or_else(|| eyre!("--listen is needed"))?;
+    let state = Arc::new(TargetState {
+        address,
+        admin: options.admin.ok_or_else(|| eyre!("--admin is needed"))?,
+        ingress: options.ingress,
+        service: options.service,
+        slots: options.slots,
+        runs: options.runs,
+        running: AtomicUsize::new(0),
+        is_leaving: AtomicBool::new(false),
+    });
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(announce_task(Arc::clone(&state)));
+    let mut terminate = signal(SignalKind::terminate())?;
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let (stream, _) = accepted?;
+                stream.set_nodelay(true)?;
+                let state = Arc::clone(&state);
+                let service = service_fn(move |request| {
+                    let state = Arc::clone(&state);
+                    async move { serve(&state, request).await }
+                });
+                let connection = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service);
+                tokio::spawn(connection);
+            }
+            _ = terminate.recv() => {
+                tokio::spawn(leave(Arc::clone(&state)));
+            }
+        }
+    }
+}
+
+async fn announce_task(state: Arc<TargetState>) {
+    loop {
+        announce(&state).await;
+        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
+
+async fn announce(state: &TargetState) {
+    let body = json!({
+        "service": state.service,
+        "address": state.address,
+        "slots": state.slots,
+        "draining": state.is_leaving.load(Ordering::Relaxed),
+    });
+    let _ = client::post(state.admin, "/v1/targets", &body.to_string()).await;
+}
+
+/// Leaves as planned: says so, ends the calls in flight, then exits.
+async fn leave(state: Arc<TargetState>) {
+    state.is_leaving.store(true, Ordering::Relaxed);
+    announce(&state).await;
+    let until = tokio::time::Instant::now() + LEAVE_TIME;
+    while state.running.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // The last answers are still on their way out.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    std::process::exit(0);
+}
+
+async fn serve(
+    state: &TargetState,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    state.running.fetch_add(1, Ordering::Relaxed);
+    let response = run(state, request).await;
+    state.running.fetch_sub(1, Ordering::Relaxed);
+    Ok(response)
+}
+
+async fn run(state: &TargetState, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    note_run(state, &parts.headers);
+    if parts.headers.contains_key("x-crash") {
+        std::process::abort();
+    }
+    let mut length = 0;
+    let mut body = body;
+    let mut first = Bytes::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        if let Ok(data) = frame.into_data() {
+            length += data.len();
+            if first.is_empty() {
+                first = data;
+            }
+        }
+    }
+    let number = |name: &str| -> u64 {
+        let value = parts
+            .headers
+            .get(name)
+            .and_then(|value| value.to_str().ok());
+        value
+            .and_then(|value| value.parse().ok())
+            .unwrap_or_default()
+    };
+    tokio::time::sleep(Duration::from_millis(number("x-sleep-ms"))).await;
+    let status = match parts
+        .headers
+        .get("x-next")
+        .and_then(|value| value.to_str().ok())
+    {
+        Some(next) => call_next(state, next, &parts.headers).await,
+        None => number("x-status").max(200) as u16,
+    };
+    let size = number("x-answer-bytes") as usize;
+    let text = if size > 0 {
+        Bytes::from(vec![b'x'; size])
+    } else {
+        let headers: Vec<String> = parts.headers.keys().map(ToString::to_string).collect();
+        Bytes::from(
+            json!({
+                "target": state.address,
+                "method": parts.method.as_str(),
+                "path": parts.uri.to_string(),
+                "received": length,
+                "headers": headers,
+                "id": parts.headers.get("x-run").and_then(|value| value.to_str().ok()),
+            })
+            .to_string(),
+        )
+    };
+    let mut response = Response::new(Full::new(text));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    response
+}
+
+/// Notes the run before it does anything, as a booking would be noted.
+fn note_run(state: &TargetState, headers: &HeaderMap) {
+    let id = headers.get("x-run").and_then(|value| value.to_str().ok());
+    let (Some(id), Some(path)) = (id, &state.runs) else {
+        return;
+    };
+    let file = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path);
+    if let Ok(mut file) = file {
+        let _ = file.write_all(format!("{id}\n").as_bytes());
+    }
+}
+
+/// Calls the first of the comma-separated services through the own node, with
+/// the others to follow, and passes its status on.
+async fn call_next(state: &TargetState, next: &str, headers: &HeaderMap) -> u16 {
+    let Some(ingress) = state.ingress else {
+        return 500;
+    };
+    let (service, rest) = next.split_once(',').unwrap_or((next, ""));
+    let deadline = headers.get("wisteriaturn-deadline-ms");
+    let deadline = deadline
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("10000");
+    let mut sent = vec![("wisteriaturn-deadline-ms", deadline)];
+    if !rest.is_empty() {
+        sent.push(("x-next", rest));
+    }
+    for name in ["x-run", "x-status", "x-sleep-ms"] {
+        if let Some(value) = headers.get(name).and_then(|value| value.to_str().ok()) {
+            sent.push((name, value));
+        }
+    }
+    match client::send(ingress, "GET", &format!("/{service}"), &sent, b"").await {
+        Ok(reply) => reply.status,
+        Err(_) => 502,
+    }
+}
--- /dev/null
+++ b/testing/src/cluster.rs
@@ -0,0 +1,393 @@
+//! A mesh of real processes on loopback: the log stand-in, nodes and targets.
+//!
+//! Each cluster has a network of its own within 127.0.0.0/8 and fixed ports,
+//! so that clusters of parallel tests cannot meet.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use eyre::{Result, WrapErr, eyre};
+use serde_json::{Value, json};
+
+use crate::client::{self, HttpReply};
+use crate::process::{OwnedProcess, program};
+
+/// Longest wait for a condition. It is far above what the conditions need, so
+/// that a busy machine does not decide a test.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+const STEP: Duration = Duration::from_millis(20);
+
+/// Regions and data centres of the letter's size: three and seven.
+pub const PLACES: [(&str, &str); 7] = [
+    ("r1", "r1-a"),
+    ("r1", "r1-b"),
+    ("r2", "r2-a"),
+    ("r2", "r2-b"),
+    ("r3", "r3-a"),
+    ("r3", "r3-b"),
+    ("r3", "r3-c"),
+];
+
+/// What a cluster is made of.
+#[derive(Debug, Clone)]
+pub struct ClusterPlan {
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Number of data centres over which they are spread.
+    pub places: usize,
+    /// Lines added to the `[tuning]` table of every node.
+    pub tuning: String,
+    /// Whether broken invariants end a node.
+    pub strict: bool,
+    /// Level of the nodes' log lines.
+    pub log_level: &'static str,
+}
+
+impl Default for ClusterPlan {
+    fn default() -> Self {
+        Self {
+            nodes: 3,
+            places: 1,
+            tuning: String::new(),
+            strict: true,
+            log_level: "info",
+        }
+    }
+}
+
+/// A mesh that runs.
+#[derive(Debug)]
+pub struct TestCluster {
+    /// Folder of settings and outputs.
+    pub folder: PathBuf,
+    plan: ClusterPlan,
+    network: String,
+    log: Option<OwnedProcess>,
+    nodes: Vec<Option<OwnedProcess>>,
+    targets: Vec<Option<OwnedProcess>>,
+}
+
+impl TestCluster {
+    /// Starts the log and all nodes, and waits until they are ready.
+    pub async fn start(plan: ClusterPlan) -> Result<Self> {
+        let mut cluster = Self::prepare(plan)?;
+        cluster.start_log()?;
+        for index in 0..cluster.plan.nodes {
+            cluster.start_node(index)?;
+        }
+        cluster.wait_ready().await?;
+        Ok(cluster)
+    }
+
+    /// Makes a cluster of which nothing runs yet.
+    pub fn prepare(plan: ClusterPlan) -> Result<Self> {
+        static NEXT: AtomicU32 = AtomicU32::new(1);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let id = std::process::id();
+        let network = format!("127.{}.{}", 16 + id % 200, number % 250);
+        let folder = std::env::temp_dir().join(format!("wisteriaturn-{id}-{number}"));
+        std::fs::create_dir_all(&folder)?;
+        let (nodes, targets) = ((0..plan.nodes).map(|_| None), (0..plan.nodes).map(|_| None));
+        let cluster = Self {
+            folder,
+            network,
+            log: None,
+            nodes: nodes.collect(),
+            targets: targets.collect(),
+            plan,
+        };
+        for index in 0..cluster.plan.nodes {
+            cluster.write_settings(index)?;
+        }
+        Ok(cluster)
+    }
+
+    fn write_settings(&self, index: usize) -> Result<()> {
+        let (region, place) = self.place(index);
+        let seeds: Vec<String> = (0..self.plan.nodes.min(4))
+            .map(|seed| format!("\"{}\"", self.peer(seed)))
+            .collect();
+        let text = format!(
+            "region = \"{region}\"\ndata_centre = \"{place}\"\nseeds = [{}]\n\
+             mesh_secrets = [\"a secret for tests only\"]\nlog_level = \"{}\"\n\
+             strict = {}\n\n[listen]\ningress = \"{}\"\nadmin = \"{}\"\nhop = \"{}\"\n\
+             peer = \"{}\"\n\n[log]\naddress = \"{}\"\ndata_centre = \"r1-a\"\n\n[tuning]\n{}\n",
+            seeds.join(", "),
+            self.plan.log_level,
+            self.plan.strict,
+            self.ingress(index),
+            self.admin(index),
+            self.hop(index),
+            self.peer(index),
+            self.log_address(),
+            self.plan.tuning,
+        );
+        std::fs::write(self.settings(index), text)?;
+        Ok(())
+    }
+
+    /// Returns the settings file of a node.
+    pub fn settings(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("node-{index}.toml"))
+    }
+
+    /// Returns the output file of a node.
+    pub fn output(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("node-{index}.log"))
+    }
+
+    /// Returns the file in which the targets note their runs.
+    pub fn runs_file(&self) -> PathBuf {
+        self.folder.join("runs")
+    }
+
+    /// Returns the region and the data centre of a node.
+    pub fn place(&self, index: usize) -> (&'static str, &'static str) {
+        PLACES[index % self.plan.places.clamp(1, PLACES.len())]
+    }
+
+    fn address(&self, index: usize, port: u16) -> SocketAddr {
+        let text = format!("{}.{}:{port}", self.network, index + 1);
+        text.parse().expect("the network and the port are valid")
+    }
+
+    /// Returns the address of the log stand-in.
+    pub fn log_address(&self) -> SocketAddr {
+        self.address(253, 7000)
+    }
+
+    /// Returns the address for callers.
+    pub fn ingress(&self, index: usize) -> SocketAddr {
+        self.address(index, 7080)
+    }
+
+    /// Returns the address for operators.
+    pub fn admin(&self, index: usize) -> SocketAddr {
+        self.address(index, 7081)
+    }
+
+    /// Returns the address for calls of other nodes.
+    pub fn hop(&self, index: usize) -> SocketAddr {
+        self.address(index, 7082)
+    }
+
+    /// Returns the address for messages of other nodes.
+    pub fn peer(&self, index: usize) -> SocketAddr {
+        self.address(index, 7083)
+    }
+
+    /// Returns the address of the target beside a node.
+    pub fn target(&self, index: usize) -> SocketAddr {
+        self.address(index, 7090)
+    }
+
+    /// Starts the log stand-in.
+    pub fn start_log(&mut self) -> Result<()> {
+        let arguments = vec![format!("--listen={}", self.log_address())];
+        let output = self.folder.join("log.log");
+        self.log = Some(OwnedProcess::start(
+            &program("log-standin")?,
+            &arguments,
+            &output,
+        )?);
+        Ok(())
+    }
+
+    /// Tells the log stand-in how to behave.
+    pub async fn set_log(&self, behaviour: &str) -> Result<()> {
+        self.wait("the log to take an order", async || {
+            let set = client::post(self.log_address(), "/behaviour", behaviour).await;
+            set.is_ok_and(|reply| reply.status == 200)
+        })
+        .await
+    }
+
+    /// Starts a node.
+    pub fn start_node(&mut self, index: usize) -> Result<()> {
+        let arguments = vec![format!("--config={}", self.settings(index).display())];
+        let process =
+            OwnedProcess::start(&program("wisteriaturnd")?, &arguments, &self.output(index))?;
+        self.nodes[index] = Some(process);
+        Ok(())
+    }
+
+    /// Starts the target beside a node.
+    pub fn start_target(&mut self, index: usize, service: &str, slots: u16) -> Result<()> {
+        let arguments = vec![
+            format!("--listen={}", self.target(index)),
+            format!("--admin={}", self.admin(index)),
+            format!("--ingress={}", self.ingress(index)),
+            format!("--service={service}"),
+            format!("--slots={slots}"),
+            format!("--runs={}", self.runs_file().display()),
+        ];
+        let output = self.folder.join(format!("target-{index}.log"));
+        let process = OwnedProcess::start(&program("target-standin")?, &arguments, &output)?;
+        self.targets[index] = Some(process);
+        Ok(())
+    }
+
+    /// Returns the process of a node.
+    pub fn node(&mut self, index: usize) -> &mut OwnedProcess {
+        self.nodes[index].as_mut().expect("the node was started")
+    }
+
+    /// Returns the process of a target.
+    pub fn target_process(&mut self, index: usize) -> &mut OwnedProcess {
+        self.targets[index]
+            .as_mut()
+            .expect("the target was started")
+    }
+
+    /// Waits until a condition holds.
+    pub async fn wait<F>(&self, what: &str, mut condition: F) -> Result<()>
+    where
+        F: AsyncFnMut() -> bool,
+    {
+        let until = Instant::now() + WAIT_LIMIT;
+        while Instant::now() < until {
+            if condition().await {
+                return Ok(());
+            }
+            tokio::time::sleep(STEP).await;
+        }
+        Err(eyre!(
+            "waited in vain for {what}; outputs are in {}",
+            self.folder.display()
+        ))
+    }
+
+    /// Waits until all nodes are ready and know each other.
+    pub async fn wait_ready(&self) -> Result<()> {
+        for index in 0..self.plan.nodes {
+            self.wait_node_ready(index).await?;
+        }
+        let all = self.plan.nodes as u64;
+        for index in 0..self.plan.nodes {
+            self.wait("the nodes to know each other", async || {
+                self.status(index).await["live_members"] == json!(all)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until one node is ready.
+    pub async fn wait_node_ready(&self, index: usize) -> Result<()> {
+        self.wait(&format!("node {index} to be ready"), async || {
+            let ready = client::get(self.admin(index), "/ready").await;
+            ready.is_ok_and(|reply| reply.status == 200)
+        })
+        .await
+    }
+
+    /// Returns the status of a node, or nothing when it does not answer.
+    pub async fn status(&self, index: usize) -> Value {
+        let reply = client::get(self.admin(index), "/v1/status").await;
+        reply.map(|reply| reply.json()).unwrap_or_default()
+    }
+
+    /// Returns the metrics of a node.
+    pub async fn metrics(&self, index: usize) -> String {
+        let reply = client::get(self.admin(index), "/metrics").await;
+        reply.map(|reply| reply.text()).unwrap_or_default()
+    }
+
+    /// Applies a change through a node.
+    pub async fn apply(&self, index: usize, operations: Value) -> Result<HttpReply> {
+        let body = json!({ "operations": operations }).to_string();
+        client::post(self.admin(index), "/v1/changes", &body).await
+    }
+
+    /// Applies a change that must be accepted and returns its version.
+    pub async fn apply_accepted(&self, index: usize, operations: Value) -> Result<u64> {
+        let reply = self.apply(index, operations).await.wrap_err("apply")?;
+        match reply.json()["version"].as_u64() {
+            Some(version) if reply.status == 200 => Ok(version),
+            _ => Err(eyre!("not accepted: {} {}", reply.status, reply.text())),
+        }
+    }
+
+    /// Configures a service with a route at `/name`, and waits until all nodes
+    /// hold it.
+    pub async fn add_service(&self, name: &str, route: Value) -> Result<()> {
+        let mut spec = json!({ "kind": "route", "name": name, "path": format!("/{name}"),
+            "services": [{ "service": name }] });
+        if let (Some(spec), Value::Object(more)) = (spec.as_object_mut(), route) {
+            spec.extend(more);
+        }
+        let service = json!({ "kind": "service", "name": name, "permit": ["127.0.0.0/8"] });
+        let operations = json!([{ "put": service }, { "put": spec }]);
+        let version = self.apply_accepted(0, operations).await?;
+        self.wait_version(version).await
+    }
+
+    /// Waits until all running nodes hold a version.
+    pub async fn wait_version(&self, version: u64) -> Result<()> {
+        for index in 0..self.plan.nodes {
+            if self.nodes[index].is_none() {
+                continue;
+            }
+            self.wait(
+                &format!("node {index} to hold version {version}"),
+                async || self.status(index).await["version"].as_u64() >= Some(version),
+            )
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a node sees `count` targets of a service.
+    pub async fn wait_targets(&self, index: usize, service: &str, count: usize) -> Result<()> {
+        self.wait(
+            &format!("node {index} to see {count} targets of {service}"),
+            async || {
+                let reply = client::get(self.admin(index), "/v1/targets").await;
+                let targets = reply.map(|reply| reply.json()).unwrap_or_default();
+                targets[service].as_array().map(Vec::len) == Some(count)
+            },
+        )
+        .await
+    }
+
+    /// Returns how often each run id was executed by the targets.
+    pub fn runs(&self) -> std::collections::HashMap<String, usize> {
+        let text = std::fs::read_to_string(self.runs_file()).unwrap_or_default();
+        let mut runs = std::collections::HashMap::new();
+        for line in text.lines() {
+            *runs.entry(line.to_owned()).or_default() += 1;
+        }
+        runs
+    }
+
+    /// Kills the log stand-in.
+    pub fn kill_log(&mut self) {
+        self.log = None;
+    }
+
+    /// Kills a node.
+    pub fn kill_node(&mut self, index: usize) {
+        self.nodes[index] = None;
+    }
+
+    /// Kills a target.
+    pub fn kill_target(&mut self, index: usize) {
+        self.targets[index] = None;
+    }
+
+    /// Tells whether any node ended that was not told to.
+    pub fn has_crashed(&mut self) -> bool {
+        self.nodes
+            .iter_mut()
+            .flatten()
+            .any(|node| !node.is_running())
+    }
+
+    /// Removes the folder; called by those who have no use for the outputs.
+    pub fn remove_folder(&self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/testing/src/lib.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for what surrounds the mesh, and the means to run many processes
+//! of it on one machine. Kept small: the users' own bench will replace it.
+
+pub mod client;
+pub mod cluster;
+pub mod metrics;
+pub mod process;
--- /dev/null
+++ b/tests/integration/process_path.rs
@@ -0,0 +1,53 @@
+//! The whole path as separate processes: log, nodes, targets, tool, caller.
+
+use std::process::Command;
+
+use eyre::Result;
+use serde_json::json;
+use wisteriaturn_testing::client;
+use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
+use wisteriaturn_testing::process::program;
+
+const RESOURCES: &str = r#"
+[[service]]
+name = "portal"
+permit = ["127.0.0.0/8"]
+
+[[route]]
+name = "portal"
+path = "/portal"
+services = [{ service = "portal" }]
+"#;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_reaches_the_target_of_another_node() -> Result<()> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes: 2,
+        ..ClusterPlan::default()
+    })
+    .await?;
+    let file = cluster.folder.join("portal.toml");
+    std::fs::write(&file, RESOURCES)?;
+    let applied = Command::new(program("wisteriaturn")?)
+        .args(["--node", &cluster.admin(0).to_string(), "apply", "--wait"])
+        .arg(&file)
+        .output()?;
+    assert!(applied.status.success(), "{applied:?}");
+    cluster.start_target(0, "portal", 6)?;
+    cluster.wait_targets(1, "portal", 1).await?;
+
+    let reply = client::get(cluster.ingress(1), "/portal/index").await?;
+
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(reply.outcome(), "done");
+    assert_eq!(reply.json()["path"], json!("/portal/index"));
+    let output = std::fs::read_to_string(cluster.output(1))?;
+    let decision = output.lines().find(|line| line.contains("event=route"));
+    let expected = format!("target={}", cluster.peer(0));
+    assert!(
+        decision.is_some_and(|line| line.contains(&expected)),
+        "{output}"
+    );
+    cluster.remove_folder();
+    Ok(())
+}
--- /dev/null
+++ b/wisteriaturn-cli/src/options.rs
@@ -0,0 +1,167 @@
+//! The command line of `wisteriaturn`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use gumdrop::Options;
+
+/// How results are printed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum OutputFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// The reply as it came.
+    Json,
+}
+
+impl FromStr for OutputFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(OutputFormat::Text),
+            "json" => Ok(OutputFormat::Json),
+            _ => Err("allowed are text and json".to_owned()),
+        }
+    }
+}
+
+/// Drives a mesh through the resource API of any node.
+#[derive(Debug, Options)]
+pub(crate) struct ToolOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "print the version")]
+    pub(crate) version: bool,
+    #[options(
+        help = "admin address of a node (default 127.0.0.1:7081, or WISTERIATURN_NODE)",
+        meta = "ADDRESS"
+    )]
+    pub(crate) node: Option<SocketAddr>,
+    #[options(
+        help = "bearer token for writes (or WISTERIATURN_TOKEN)",
+        meta = "TOKEN"
+    )]
+    pub(crate) token: Option<String>,
+    #[options(help = "text or json (default text)", meta = "FORMAT")]
+    pub(crate) output: OutputFormat,
+    #[options(command)]
+    pub(crate) command: Option<ToolCommand>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+pub(crate) enum ToolCommand {
+    #[options(help = "write the resources of a TOML or JSON file as one change")]
+    Apply(ApplyOptions),
+    #[options(help = "show resources in force on the node")]
+    Get(GetOptions),
+    #[options(help = "delete one resource")]
+    Delete(DeleteOptions),
+    #[options(help = "show the state of the node")]
+    Status(PlainOptions),
+    #[options(help = "print a line for each change as it comes into force")]
+    Watch(WatchOptions),
+    #[options(help = "say which target a call would take, and why not the others")]
+    Explain(ExplainOptions),
+    #[options(help = "show the targets of each service")]
+    Targets(PlainOptions),
+    #[options(help = "show the nodes of the mesh")]
+    Members(PlainOptions),
+    #[options(help = "show which nodes hold a version and which do not")]
+    Convergence(ConvergenceOptions),
+    #[options(help = "ask what became of a change")]
+    Change(ChangeOptions),
+    #[options(help = "check a file of resources against the node's view without writing")]
+    Check(CheckOptions),
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct ApplyOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "file, or - for standard input")]
+    pub(crate) file: Option<PathBuf>,
+    #[options(help = "who asks, for the record")]
+    pub(crate) author: Option<String>,
+    #[options(help = "id of the change, 32 hexadecimal digits; send it again safely")]
+    pub(crate) change_id: Option<String>,
+    #[options(help = "wait until every live node holds the change")]
+    pub(crate) wait: bool,
+    #[options(
+        help = "seconds to wait (default 10)",
+        default = "10",
+        meta = "SECONDS"
+    )]
+    pub(crate) timeout: u64,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct GetOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "kind, or kind/name; all when absent")]
+    pub(crate) what: Option<String>,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct DeleteOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "kind/name")]
+    pub(crate) what: Option<String>,
+    #[options(help = "delete only at this revision", meta = "REVISION")]
+    pub(crate) revision: Option<u64>,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct PlainOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct WatchOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "start after this version (default 0)", default = "0")]
+    pub(crate) from: u64,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct ExplainOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "path, such as /tables/2026")]
+    pub(crate) path: Option<String>,
+    #[options(help = "host of the call", default = "")]
+    pub(crate) host: String,
+    #[options(help = "method of the call (default GET)", default = "GET")]
+    pub(crate) method: String,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct ConvergenceOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "version; the node's own when absent")]
+    pub(crate) version: Option<u64>,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct ChangeOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "id of the change")]
+    pub(crate) id: Option<String>,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct CheckOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "file, or - for standard input")]
+    pub(crate) file: Option<PathBuf>,
+}
--- /dev/null
+++ b/wisteriaturnd/src/admin/port.rs
@@ -0,0 +1,332 @@
+//! The port for operators, targets and metrics readers.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, IF_MATCH, IF_NONE_MATCH};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use wisteriaturn::config::change::{CHANGE_LIMIT, Change};
+use wisteriaturn::config::resource::{Resource, ResourceKey, ResourceKind};
+use wisteriaturn::ids::{ChangeId, ConfigVersion, ServiceName};
+
+use crate::admin::change::{RawChange, RawExpectation, RawOperation, apply, report};
+use crate::admin::reply::{error_reply, json_reply, text_reply};
+use crate::admin::view;
+use crate::body::NodeBody;
+use crate::node::{NodeHandle, NodeStage};
+use crate::targets::{self, AnnounceError, TargetAnnouncement};
+
+/// Connections that are open at once.
+const CONNECTION_LIMIT: usize = 256;
+
+/// Time for the head of a request.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+
+/// Accepts connections for as long as the node runs.
+pub async fn accept_task(node: NodeHandle, listener: TcpListener) {
+    let connections = Arc::new(Semaphore::new(CONNECTION_LIMIT));
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+            node.metrics.note_drop("admin-connections");
+            continue;
+        };
+        let node = node.clone();
+        tokio::spawn(async move {
+            serve(node, stream, from).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve(node: NodeHandle, stream: TcpStream, from: SocketAddr) {
+    let service = service_fn(|request| {
+        let node = node.clone();
+        async move { Ok::<_, Infallible>(handle(&node, request, from).await) }
+    });
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn handle(
+    node: &NodeHandle,
+    request: Request<Incoming>,
+    from: SocketAddr,
+) -> Response<NodeBody> {
+    let path = request.uri().path().to_owned();
+    let parts: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
+    let method = request.method().clone();
+    let is_local = parts.starts_with(&["v1", "targets"]) && method != Method::GET;
+    if is_local && !from.ip().is_loopback() {
+        let error = "only the target on this VM may say this, over loopback";
+        return error_reply(StatusCode::FORBIDDEN, error);
+    }
+    if method != Method::GET && !is_local && !has_token(node, request.headers()) {
+        return error_reply(StatusCode::UNAUTHORIZED, "a valid bearer token is needed");
+    }
+    if method == Method::GET {
+        return read(node, &parts, request.uri().query().unwrap_or_default()).await;
+    }
+    write(node, &method, &parts, request).await
+}
+
+fn has_token(node: &NodeHandle, headers: &HeaderMap) -> bool {
+    let Some(expected) = &node.settings.admin_token else {
+        return true;
+    };
+    let given = headers.get(AUTHORIZATION).map(|value| value.as_bytes());
+    let expected = format!("Bearer {expected}");
+    // Hashes are compared in constant time, whatever the lengths.
+    given.is_some_and(|given| blake3::hash(given) == blake3::hash(expected.as_bytes()))
+}
+
+async fn read(node: &NodeHandle, parts: &[&str], query: &str) -> Response<NodeBody> {
+    let query = Query::new(query);
+    match parts {
+        ["health"] => text_reply(StatusCode::OK, "ok\n".to_owned()),
+        ["ready"] => ready(node),
+        ["metrics"] => text_reply(StatusCode::OK, node.metrics.encode(node.log.bytes())),
+        ["v1", "status"] => view::status(node),
+        ["v1", "members"] => view::members(node),
+        ["v1", "targets"] => view::targets(node),
+        ["v1", "resources"] => view::resources(node, None),
+        ["v1", "changes", id] => match id.parse::<ChangeId>() {
+            Ok(id) => change_report(node, id),
+            Err(error) => error_reply(StatusCode::BAD_REQUEST, format!("change id: {error}")),
+        },
+        ["v1", "watch"] => view::watch(node, query.version("from")),
+        ["v1", "convergence"] => {
+            let held = node.view.load().config.version;
+            let version = query.get("version").and_then(|text| text.parse().ok());
+            view::convergence(node, version.unwrap_or(held)).await
+        }
+        ["v1", "explain"] => {
+            let host = query.get("host").unwrap_or_default();
+            let path = query.get("path").unwrap_or_else(|| "/".to_owned());
+            let method = query.get("method").unwrap_or_else(|| "GET".to_owned());
+            view::explain(node, &host, &path, &method)
+        }
+        ["v1", kind] => match kind.parse::<ResourceKind>() {
+            Ok(kind) => view::resources(node, Some(&kind.to_string())),
+            Err(_) => not_found(),
+        },
+        ["v1", kind, name] => match kind.parse::<ResourceKind>() {
+            Ok(kind) => view::resource(node, &ResourceKey::new(kind, name)),
+            Err(_) => not_found(),
+        },
+        _ => not_found(),
+    }
+}
+
+fn not_found() -> Response<NodeBody> {
+    error_reply(StatusCode::NOT_FOUND, "no such path; see docs/API.md")
+}
+
+fn ready(node: &NodeHandle) -> Response<NodeBody> {
+    match node.current_stage() {
+        NodeStage::Ready => text_reply(StatusCode::OK, "ready\n".to_owned()),
+        stage => text_reply(StatusCode::SERVICE_UNAVAILABLE, format!("{stage:?}\n")),
+    }
+}
+
+fn change_report(node: &NodeHandle, id: ChangeId) -> Response<NodeBody> {
+    match report(node, id) {
+        Some(report) => json_reply(StatusCode::OK, &report),
+        None => {
+            let error = format!("change {id} is not among those that this node remembers");
+            error_reply(StatusCode::NOT_FOUND, error)
+        }
+    }
+}
+
+async fn write(
+    node: &NodeHandle,
+    method: &Method,
+    parts: &[&str],
+    request: Request<Incoming>,
+) -> Response<NodeBody> {
+    let expect = match expectation(request.headers()) {
+        Ok(expect) => expect,
+        Err(error) => return error_reply(StatusCode::BAD_REQUEST, error),
+    };
+    let query = Query::new(request.uri().query().unwrap_or_default());
+    let is_dry = query.get("dry_run").as_deref() == Some("true");
+    let body = match Limited::new(request.into_body(), CHANGE_LIMIT)
+        .collect()
+        .await
+    {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return error_reply(StatusCode::PAYLOAD_TOO_LARGE, error),
+    };
+    match (method, parts) {
+        (&Method::POST, ["v1", "targets"]) => match parse::<TargetAnnouncement>(&body) {
+            Ok(announcement) => announce(node, &announcement).await,
+            Err(error) => error_reply(StatusCode::BAD_REQUEST, error),
+        },
+        (&Method::DELETE, ["v1", "targets", service]) => withdraw(node, service).await,
+        (&Method::POST, ["v1", "changes"]) => match parse::<RawChange>(&body) {
+            Ok(raw) => change(node, raw, is_dry).await,
+            Err(error) => error_reply(StatusCode::BAD_REQUEST, error),
+        },
+        (&Method::PUT | &Method::DELETE, ["v1", kind, name]) => {
+            match one_write(method, kind, name, &body, expect) {
+                Ok(raw) => change(node, raw, is_dry).await,
+                Err(error) => error_reply(StatusCode::BAD_REQUEST, error),
+            }
+        }
+        _ => not_found(),
+    }
+}
+
+fn parse<T>(body: &Bytes) -> Result<T, String>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|error| error.to_string())
+}
+
+/// Reads `If-Match: "revision"` and `If-None-Match: *`.
+fn expectation(headers: &HeaderMap) -> Result<Option<RawExpectation>, String> {
+    if let Some(tag) = headers.get(IF_MATCH) {
+        let text = tag.to_str().unwrap_or_default().trim_matches('"');
+        let revision = text
+            .parse()
+            .map_err(|_| "If-Match must be one revision in quotes".to_owned())?;
+        return Ok(Some(RawExpectation::Revision(revision)));
+    }
+    match headers.get(IF_NONE_MATCH).map(|tag| tag.as_bytes()) {
+        None => Ok(None),
+        Some(b"*") => Ok(Some(RawExpectation::Word("absent".to_owned()))),
+        Some(_) => Err("If-None-Match must be *".to_owned()),
+    }
+}
+
+/// Makes a batch of one out of a write of one resource.
+fn one_write(
+    method: &Method,
+    kind: &str,
+    name: &str,
+    body: &Bytes,
+    expect: Option<RawExpectation>,
+) -> Result<RawChange, String> {
+    let kind: ResourceKind = kind.parse()?;
+    let key = ResourceKey::new(kind, name);
+    let operation = if method == Method::PUT {
+        let resource: Resource = parse(body)?;
+        if resource.key() != key {
+            return Err(format!(
+                "the body is {}, the path says {key}",
+                resource.key()
+            ));
+        }
+        RawOperation {
+            put: Some(resource),
+            delete: None,
+            expect,
+        }
+    } else {
+        RawOperation {
+            put: None,
+            delete: Some(key.to_string()),
+            expect,
+        }
+    };
+    Ok(RawChange {
+        change_id: None,
+        author: None,
+        operations: vec![operation],
+    })
+}
+
+async fn change(node: &NodeHandle, raw: RawChange, is_dry: bool) -> Response<NodeBody> {
+    let change = match Change::try_from(raw) {
+        Ok(change) => change,
+        Err(error) => return error_reply(StatusCode::BAD_REQUEST, error),
+    };
+    if is_dry {
+        let preview = wisteriaturn::clock::lock(&node.store)
+            .state()
+            .preview(&change);
+        return match preview {
+            Ok(()) => json_reply(
+                StatusCode::OK,
+                &json!({ "accepted": true, "dry_run": true }),
+            ),
+            Err(rejection) => error_reply(StatusCode::UNPROCESSABLE_ENTITY, rejection),
+        };
+    }
+    if node.current_stage() == NodeStage::Starting {
+        return error_reply(StatusCode::SERVICE_UNAVAILABLE, "the node is not ready");
+    }
+    match apply(node, &change).await {
+        Ok(report) => json_reply(report.status(), &report),
+        Err(error) => {
+            let reply = json!({ "error": error.to_string(), "change_id": change.id });
+            json_reply(error.status(), &reply)
+        }
+    }
+}
+
+async fn announce(node: &NodeHandle, announcement: &TargetAnnouncement) -> Response<NodeBody> {
+    match targets::announce(node, announcement).await {
+        Ok(()) => {
+            let ttl = node.settings.tuning.announce_ttl.as_millis() as u64;
+            json_reply(StatusCode::OK, &json!({ "ttl_ms": ttl }))
+        }
+        Err(error @ AnnounceError::NoService(_)) => error_reply(StatusCode::CONFLICT, error),
+        Err(error @ AnnounceError::NotPermitted(_)) => error_reply(StatusCode::FORBIDDEN, error),
+        Err(error) => error_reply(StatusCode::UNPROCESSABLE_ENTITY, error),
+    }
+}
+
+async fn withdraw(node: &NodeHandle, service: &str) -> Response<NodeBody> {
+    let Ok(service) = service.parse::<ServiceName>() else {
+        return not_found();
+    };
+    if targets::withdraw(node, &service).await {
+        json_reply(StatusCode::OK, &json!({ "withdrawn": service }))
+    } else {
+        error_reply(
+            StatusCode::NOT_FOUND,
+            format!("no target of service/{service} here"),
+        )
+    }
+}
+
+/// The parameters of a query, percent-decoded.
+struct Query(HashMap<String, String>);
+
+impl Query {
+    fn new(text: &str) -> Self {
+        let pairs = form_urlencoded::parse(text.as_bytes()).into_owned();
+        Self(pairs.collect())
+    }
+
+    fn get(&self, key: &str) -> Option<String> {
+        self.0.get(key).cloned()
+    }
+
+    fn version(&self, key: &str) -> ConfigVersion {
+        let parsed = self.0.get(key).and_then(|text| text.parse().ok());
+        parsed.unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/wisteriaturnd/src/claims.rs
@@ -0,0 +1,165 @@
+//! The claims that this node's gates ask for.
+//!
+//! One task for each stream gathers the items that arrive while a demand is
+//! under way and sends them together, so a keeper sees one message for many
+//! calls. The task goes to another keeper when one does not answer; asking
+//! twice is harmless, since a run that holds its key wins again.
+
+use std::time::{Duration, Instant};
+
+use tokio::sync::{mpsc, oneshot};
+use wisteriaturn::clock::lock;
+use wisteriaturn::gate::claim::{
+    BATCH_LIMIT, CLAIM_STREAMS, ClaimDemand, ClaimHolder, ClaimItem, ClaimVerdict, stream_of,
+};
+use wisteriaturn::ids::{CallId, KeyHash, NodeAddress};
+use wisteriaturn::member::relay::keeper;
+use wisteriaturn::peer::message::{PeerAnswer, PeerRequest};
+
+use crate::metrics::TrafficKind;
+use crate::node::NodeHandle;
+use crate::peer_client::PeerLink;
+
+/// Items that may wait for one stream.
+const QUEUE_LIMIT: usize = 8192;
+
+/// Pause after a keeper failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long a release is tried. A key that stays claimed by a run that was
+/// never started delays its caller and breaks no promise.
+const RELEASE_TIME: Duration = Duration::from_secs(120);
+
+#[derive(Debug)]
+struct QueuedItem {
+    item: ClaimItem,
+    until: Instant,
+    reply: oneshot::Sender<ClaimVerdict>,
+}
+
+/// Takes claims and releases; the tasks behind it send them to keepers.
+#[derive(Debug)]
+pub struct ClaimDesk {
+    queues: Vec<mpsc::Sender<QueuedItem>>,
+}
+
+/// The other ends of the desk's queues, to be started once.
+#[derive(Debug)]
+pub struct ClaimQueues {
+    queues: Vec<mpsc::Receiver<QueuedItem>>,
+}
+
+impl ClaimDesk {
+    /// Returns a desk and its queues.
+    pub fn new() -> (Self, ClaimQueues) {
+        let (senders, receivers) = (0..CLAIM_STREAMS)
+            .map(|_| mpsc::channel(QUEUE_LIMIT))
+            .unzip();
+        (Self { queues: senders }, ClaimQueues { queues: receivers })
+    }
+
+    /// Claims a key for a run, waiting until `until` at most.
+    pub async fn claim(&self, key: KeyHash, holder: ClaimHolder, until: Instant) -> ClaimVerdict {
+        self.put(key, ClaimItem::Claim { key, holder }, until).await
+    }
+
+    /// Frees a key whose run will not be started.
+    pub fn release(&self, node: &NodeHandle, key: KeyHash, run: CallId) {
+        let node = node.clone();
+        let until = node.clock.now() + RELEASE_TIME;
+        tokio::spawn(async move {
+            let item = ClaimItem::Release { key, run };
+            node.claims.put(key, item, until).await;
+        });
+    }
+
+    async fn put(&self, key: KeyHash, item: ClaimItem, until: Instant) -> ClaimVerdict {
+        let (reply, verdict) = oneshot::channel();
+        let queued = QueuedItem { item, until, reply };
+        let queue = &self.queues[stream_of(key) as usize];
+        if queue.try_send(queued).is_err() {
+            return ClaimVerdict::Unavailable;
+        }
+        // The task drops the reply of an item whose time is over.
+        verdict.await.unwrap_or(ClaimVerdict::Unavailable)
+    }
+}
+
+impl ClaimQueues {
+    /// Starts a task for each stream.
+    pub fn start(self, node: &NodeHandle) {
+        for (stream, queue) in (0..).zip(self.queues) {
+            tokio::spawn(demand_task(node.clone(), stream, queue));
+        }
+    }
+}
+
+async fn demand_task(node: NodeHandle, stream: u32, mut queue: mpsc::Receiver<QueuedItem>) {
+    let mut link: Option<(NodeAddress, PeerLink)> = None;
+    let mut waiting: Vec<QueuedItem> = Vec::new();
+    loop {
+        if waiting.is_empty() && queue.recv_many(&mut waiting, BATCH_LIMIT).await == 0 {
+            return;
+        }
+        while waiting.len() < BATCH_LIMIT
+            && let Ok(item) = queue.try_recv()
+        {
+            waiting.push(item);
+        }
+        let now = node.clock.now();
+        waiting.retain(|queued| queued.until > now && !queued.reply.is_closed());
+        if waiting.is_empty() {
+            continue;
+        }
+        let demand = ClaimDemand {
+            stream,
+            items: waiting.iter().map(|queued| queued.item.clone()).collect(),
+        };
+        let verdicts = send_demand(&node, &mut link, demand).await;
+        waiting = settle(waiting, verdicts);
+        if !waiting.is_empty() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Answers the items that have a verdict and returns the others.
+fn settle(waiting: Vec<QueuedItem>, verdicts: Option<Vec<ClaimVerdict>>) -> Vec<QueuedItem> {
+    let verdicts = verdicts.unwrap_or_default();
+    let mut left = Vec::new();
+    for (index, queued) in waiting.into_iter().enumerate() {
+        match verdicts.get(index) {
+            Some(ClaimVerdict::Unavailable) | None => left.push(queued),
+            Some(verdict) => {
+                let _ = queued.reply.send(verdict.clone());
+            }
+        }
+    }
+    left
+}
+
+async fn send_demand(
+    node: &NodeHandle,
+    link: &mut Option<(NodeAddress, PeerLink)>,
+    demand: ClaimDemand,
+) -> Option<Vec<ClaimVerdict>> {
+    let home = node.settings.log_home.as_ref();
+    let keeper = keeper(&lock(&node.table), demand.stream, home)?;
+    if keeper == node.address() {
+        return Some(node.keeper.demand(node, demand).await);
+    }
+    if link.as_ref().is_none_or(|(peer, _)| *peer != keeper) {
+        *link = None;
+        let opened = PeerLink::open(node, keeper).await.ok()?;
+        *link = Some((keeper, opened));
+    }
+    let (_, open) = link.as_mut()?;
+    let request = PeerRequest::Claim(demand);
+    match open.ask(node, &request, TrafficKind::Claim).await {
+        Ok(PeerAnswer::Claimed(verdicts)) => Some(verdicts),
+        Ok(_) | Err(_) => {
+            *link = None;
+            None
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaturnd/src/gate/answer.rs
@@ -0,0 +1,74 @@
+//! Answers that a node gives itself, and answers that were kept.
+
+use bytes::Bytes;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use wisteriaturn::gate::ledger::{CallEnd, KeptAnswer};
+use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
+use wisteriaturn::peer::message::InquiryAnswer;
+
+use crate::body::{NodeBody, full};
+use crate::headers;
+
+/// Seconds after which a refused caller may come again.
+const RETRY_AFTER_SECONDS: &str = "1";
+
+/// Returns the status for an answer that no target gave.
+fn status_of(outcome: CallOutcome, reason: RefusalReason) -> StatusCode {
+    match (outcome, reason) {
+        (_, RefusalReason::NoRoute) => StatusCode::NOT_FOUND,
+        (_, RefusalReason::BadRequest) => StatusCode::BAD_REQUEST,
+        (CallOutcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (_, RefusalReason::Deadline) => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Returns an answer without a target's.
+pub fn refusal(outcome: CallOutcome, reason: RefusalReason) -> Response<NodeBody> {
+    let text = format!("{outcome}: {reason}\n");
+    let mut response = Response::new(full(Bytes::from(text)));
+    *response.status_mut() = status_of(outcome, reason);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    headers::set(headers, headers::OUTCOME, outcome);
+    headers::set(headers, headers::REASON, reason);
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        let value = HeaderValue::from_static(RETRY_AFTER_SECONDS);
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
+
+/// Returns a kept answer as a response.
+pub fn kept_response(answer: &KeptAnswer) -> Response<NodeBody> {
+    let mut response = Response::new(full(answer.body.clone()));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let headers = response.headers_mut();
+    for (name, value) in &answer.headers {
+        let name = HeaderName::from_bytes(name);
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers::set(headers, headers::OUTCOME, CallOutcome::Done);
+    response
+}
+
+/// Returns what a caller is told after a gate was asked about its call;
+/// `reason` stands for an answer that is not at hand.
+pub fn inquiry_response(answer: &InquiryAnswer, reason: RefusalReason) -> Response<NodeBody> {
+    match answer {
+        InquiryAnswer::NotRun(why) => refusal(CallOutcome::NotRun, *why),
+        InquiryAnswer::Ended(CallEnd::Answered(kept)) => {
+            let mut response = kept_response(kept);
+            headers::set(response.headers_mut(), headers::REPLAYED, true);
+            response
+        }
+        InquiryAnswer::Ended(CallEnd::Refused(why)) => refusal(CallOutcome::NotRun, *why),
+        InquiryAnswer::Ended(CallEnd::Lost | CallEnd::TooLarge) | InquiryAnswer::Unknown => {
+            refusal(CallOutcome::Unknown, reason)
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaturnd/src/gate/mod.rs
@@ -0,0 +1,6 @@
+//! The gate of the local target: the port that other nodes send calls to, and
+//! the run of one call.
+
+pub mod answer;
+pub mod port;
+pub mod run;
--- /dev/null
+++ b/wisteriaturnd/src/gate/run.rs
@@ -0,0 +1,423 @@
+//! The run of one call at the gate of its target.
+//!
+//! Everything up to [`CallTicket::start`] can still be refused as `not-run`;
+//! everything after it cannot. An idempotent call runs in the task of its
+//! connection, so it ends when its node goes away. Any other call runs in a
+//! task of its own: a cut link must not end it half way, and its answer is
+//! kept for a node that asks.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use tokio::time::timeout_at;
+use wisteriaturn::clock::lock;
+use wisteriaturn::gate::claim::{ClaimHolder, ClaimVerdict};
+use wisteriaturn::gate::ledger::{BODY_LIMIT, CallEnd, CallTicket, KeptAnswer};
+use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
+use wisteriaturn::gate::quarantine::RequestStanding;
+use wisteriaturn::gate::slots::SlotPermit;
+use wisteriaturn::ids::{Fingerprint, KeyHash};
+use wisteriaturn::member::rumor::Rumor;
+use wisteriaturn::peer::message::InquiryAnswer;
+
+use crate::body::{BodyEnd, GuardedBody, NodeBody, RequestBody, boxed};
+use crate::error::LinkError;
+use crate::exchange::{self, ExchangeError, pooled_body};
+use crate::gate::answer::{inquiry_response, kept_response, refusal};
+use crate::gate::port;
+use crate::gossip;
+use crate::headers;
+use crate::hop::{self, ASK_INQUIRE, GateCall};
+use crate::node::{NodeHandle, NodeStage};
+use crate::pool::PooledLink;
+use crate::targets::{self, LocalTarget};
+
+/// Time to see whether a target's process is gone after an exchange was lost.
+const CRASH_CHECK_TIME: Duration = Duration::from_millis(200);
+
+/// What a run holds of its target.
+struct AdmittedRun {
+    permit: SlotPermit,
+    link: PooledLink,
+    address: std::net::SocketAddr,
+}
+
+/// Runs a call, or refuses it. The answer carries its outcome and how full
+/// the gate is.
+pub async fn run(
+    node: &NodeHandle,
+    call: GateCall,
+    request: Request<NodeBody>,
+) -> Response<NodeBody> {
+    let service = call.service.clone();
+    let mut response = if call.is_idempotent {
+        run_idempotent(node, &call, request).await
+    } else {
+        let node = node.clone();
+        let task = tokio::spawn(async move { run_once(&node, call, request).await });
+        // A task that panicked may have sent the call.
+        task.await
+            .unwrap_or_else(|_| refusal(CallOutcome::Unknown, RefusalReason::TargetLost))
+    };
+    if let Some(target) = node.targets.get(&service) {
+        let load = target.gate.load();
+        headers::set(
+            response.headers_mut(),
+            headers::BUSY,
+            load.busy + load.waiting,
+        );
+    }
+    response
+}
+
+async fn run_idempotent(
+    node: &NodeHandle,
+    call: &GateCall,
+    request: Request<NodeBody>,
+) -> Response<NodeBody> {
+    let admitted = match admit(node, call).await {
+        Ok(admitted) => admitted,
+        Err(reason) => return refusal(CallOutcome::NotRun, reason),
+    };
+    let AdmittedRun {
+        permit,
+        link,
+        address,
+    } = admitted;
+    node.metrics.target_runs.inc();
+    let (response, link) = match send(node, call, link, address, request).await {
+        Ok(answered) => answered,
+        Err(reason) => return lost(node, call, address, reason).await,
+    };
+    let (mut parts, body) = response.into_parts();
+    headers::strip_hop_by_hop(&mut parts.headers);
+    headers::strip_mesh(&mut parts.headers);
+    headers::set(&mut parts.headers, headers::OUTCOME, CallOutcome::Done);
+    let (owner, fingerprint) = (node.clone(), call.fingerprint);
+    let body = pooled_body(body, link, &node.target_pool, move |end| {
+        drop(permit);
+        note_end(owner, fingerprint, address, end);
+    });
+    Response::from_parts(parts, body)
+}
+
+async fn run_once(
+    node: &NodeHandle,
+    call: GateCall,
+    request: Request<NodeBody>,
+) -> Response<NodeBody> {
+    let ticket = match node.ledger.enter(call.call) {
+        Ok(ticket) => ticket,
+        Err(reason) => return refusal(CallOutcome::NotRun, reason),
+    };
+    if let Some(key) = call.key {
+        match claim(node, &call, key).await {
+            ClaimVerdict::Won => {}
+            ClaimVerdict::Lost(holder) => {
+                ticket.end(CallEnd::Refused(RefusalReason::ClaimLost));
+                return ask_holder(node, &call, holder).await;
+            }
+            ClaimVerdict::Unavailable => {
+                // The claim may still reach the log, so it is freed as well.
+                return refuse(node, &call, ticket, RefusalReason::ClaimUnavailable);
+            }
+        }
+    }
+    match admit(node, &call).await {
+        Ok(admitted) => run_admitted(node, call, request, ticket, admitted).await,
+        Err(reason) => refuse(node, &call, ticket, reason),
+    }
+}
+
+/// Ends a call that was not started.
+fn refuse(
+    node: &NodeHandle,
+    call: &GateCall,
+    ticket: CallTicket,
+    reason: RefusalReason,
+) -> Response<NodeBody> {
+    ticket.end(CallEnd::Refused(reason));
+    if let Some(key) = call.key {
+        node.claims.release(node, key, call.call);
+    }
+    refusal(CallOutcome::NotRun, reason)
+}
+
+async fn run_admitted(
+    node: &NodeHandle,
+    call: GateCall,
+    request: Request<NodeBody>,
+    mut ticket: CallTicket,
+    admitted: AdmittedRun,
+) -> Response<NodeBody> {
+    if let Err(reason) = ticket.start() {
+        return refuse(node, &call, ticket, reason);
+    }
+    let AdmittedRun {
+        permit,
+        link,
+        address,
+    } = admitted;
+    node.metrics.target_runs.inc();
+    let sent = send(node, &call, link, address, request).await;
+    let (response, link) = match sent {
+        Ok(answered) => answered,
+        Err(reason) => {
+            drop(permit);
+            ticket.end(CallEnd::Lost);
+            return lost(node, &call, address, reason).await;
+        }
+    };
+    let (parts, body) = response.into_parts();
+    let mut kept = KeptAnswer {
+        status: parts.status.as_u16(),
+        headers: kept_headers(parts.headers),
+        body: Bytes::new(),
+    };
+    let body = pooled_body(body, link, &node.target_pool, |_| ());
+    let read = timeout_at(
+        call.deadline.at().into(),
+        RequestBody::read(body, BODY_LIMIT),
+    )
+    .await;
+    match read {
+        Ok(Ok(RequestBody::Whole(bytes))) => {
+            drop(permit);
+            kept.body = bytes;
+            let response = kept_response(&kept);
+            ticket.end(CallEnd::Answered(kept));
+            note_end(node.clone(), call.fingerprint, address, BodyEnd::Whole);
+            response
+        }
+        Ok(Ok(mut large)) => {
+            // Too large to keep: it streams on, and a lost link loses it.
+            let rest = large.for_attempt().unwrap_or_else(crate::body::empty);
+            let (owner, fingerprint) = (node.clone(), call.fingerprint);
+            let body = GuardedBody::new(rest, move |end| {
+                drop(permit);
+                ticket.end(CallEnd::TooLarge);
+                note_end(owner, fingerprint, address, end);
+            });
+            kept_response(&kept).map(|_| boxed(body))
+        }
+        Ok(Err(_)) => {
+            drop(permit);
+            ticket.end(CallEnd::Lost);
+            lost(node, &call, address, RefusalReason::TargetLost).await
+        }
+        Err(_) => {
+            drop(permit);
+            ticket.end(CallEnd::Lost);
+            refusal(CallOutcome::Unknown, RefusalReason::Deadline)
+        }
+    }
+}
+
+fn kept_headers(mut map: hyper::HeaderMap) -> Vec<(Bytes, Bytes)> {
+    headers::strip_hop_by_hop(&mut map);
+    headers::strip_mesh(&mut map);
+    map.remove(hyper::header::CONTENT_LENGTH);
+    map.iter()
+        .map(|(name, value)| {
+            (
+                Bytes::copy_from_slice(name.as_str().as_bytes()),
+                Bytes::copy_from_slice(value.as_bytes()),
+            )
+        })
+        .collect()
+}
+
+/// Checks all that can refuse a call, waits for a slot and for a connection.
+async fn admit(node: &NodeHandle, call: &GateCall) -> Result<AdmittedRun, RefusalReason> {
+    match node.current_stage() {
+        NodeStage::Starting => return Err(RefusalReason::NotReady),
+        NodeStage::Draining | NodeStage::Stopping => return Err(RefusalReason::Draining),
+        NodeStage::Ready => {}
+    }
+    let now = node.clock.now();
+    let standing = lock(&node.suspects).standing(call.fingerprint, now);
+    if let RequestStanding::Quarantined(_) = standing {
+        return Err(RefusalReason::Quarantined);
+    }
+    let target = node
+        .targets
+        .get(&call.service)
+        .ok_or(RefusalReason::NoTarget)?;
+    let until = call.deadline.at();
+    let acquired = timeout_at(until.into(), target.gate.acquire(call.class, until)).await;
+    let permit = acquired.map_err(|_| RefusalReason::Deadline)??;
+    let waited = node.clock.now().duration_since(now);
+    node.metrics.gate_wait_seconds.observe(waited.as_secs_f64());
+    if !call.deadline.allows_attempt(node.clock.now()) {
+        return Err(RefusalReason::Deadline);
+    }
+    let link = connect(node, call, &target).await?;
+    Ok(AdmittedRun {
+        permit,
+        link,
+        address: target.address,
+    })
+}
+
+async fn connect(
+    node: &NodeHandle,
+    call: &GateCall,
+    target: &LocalTarget,
+) -> Result<PooledLink, RefusalReason> {
+    match node.target_pool.take(target.address).await {
+        Ok(link) => Ok(link),
+        Err(error) => {
+            log::warn!(
+                event = "target-unreachable",
+                service:% = call.service,
+                address:% = target.address,
+                error:% = error;
+                "gate"
+            );
+            if matches!(error, LinkError::Unreachable(_)) {
+                // It announces itself again when it is back.
+                targets::withdraw(node, &call.service).await;
+            }
+            Err(RefusalReason::Unreachable)
+        }
+    }
+}
+
+/// Sends a started call. A connection that the target had closed meanwhile
+/// took no byte, and the call goes out over a new one.
+async fn send(
+    node: &NodeHandle,
+    call: &GateCall,
+    mut link: PooledLink,
+    address: std::net::SocketAddr,
+    mut request: Request<NodeBody>,
+) -> Result<(Response<Incoming>, PooledLink), RefusalReason> {
+    let left = call.deadline.remaining(node.clock.now()).as_millis();
+    headers::set(request.headers_mut(), headers::DEADLINE_MS, left);
+    headers::set(request.headers_mut(), headers::CALL, call.call);
+    let until = call.deadline.at().into();
+    loop {
+        let sent = timeout_at(until, exchange::send(&mut link, request)).await;
+        match sent {
+            Ok(Ok(response)) => return Ok((response, link)),
+            Ok(Err(ExchangeError::Unsent(unsent))) if link.is_reused => {
+                request = *unsent;
+                link = node
+                    .target_pool
+                    .open(address)
+                    .await
+                    .map_err(|_| RefusalReason::TargetLost)?;
+            }
+            Ok(Err(_)) => return Err(RefusalReason::TargetLost),
+            Err(_) => return Err(RefusalReason::Deadline),
+        }
+    }
+}
+
+/// Answers a call whose exchange with the target was lost.
+async fn lost(
+    node: &NodeHandle,
+    call: &GateCall,
+    address: std::net::SocketAddr,
+    reason: RefusalReason,
+) -> Response<NodeBody> {
+    let mut response = refusal(CallOutcome::Unknown, reason);
+    let is_suspect =
+        reason == RefusalReason::TargetLost && check_crash(node, call.fingerprint, address).await;
+    if is_suspect {
+        headers::set(response.headers_mut(), headers::NO_RETRY, true);
+    }
+    response
+}
+
+fn note_end(
+    node: NodeHandle,
+    fingerprint: Fingerprint,
+    address: std::net::SocketAddr,
+    end: BodyEnd,
+) {
+    match end {
+        BodyEnd::Whole => {
+            let is_cleared = lock(&node.suspects).note_success(fingerprint);
+            if is_cleared {
+                tokio::spawn(async move {
+                    gossip::spread(&node, Rumor::Cleared { fingerprint }).await;
+                });
+            }
+        }
+        BodyEnd::Failed => {
+            tokio::spawn(async move {
+                check_crash(&node, fingerprint, address).await;
+            });
+        }
+        BodyEnd::Dropped => {}
+    }
+}
+
+/// Looks whether the target's process is gone, and if so holds that against
+/// the request. Returns whether the request is suspect.
+async fn check_crash(
+    node: &NodeHandle,
+    fingerprint: Fingerprint,
+    address: std::net::SocketAddr,
+) -> bool {
+    let connecting = tokio::net::TcpStream::connect(address);
+    let is_gone = !matches!(
+        tokio::time::timeout(CRASH_CHECK_TIME, connecting).await,
+        Ok(Ok(_))
+    );
+    if !is_gone {
+        return false;
+    }
+    node.metrics.target_losses.inc();
+    node.target_pool.forget(address);
+    let now = node.clock.now();
+    let loss = node.next_loss();
+    let is_new = {
+        let mut suspects = lock(&node.suspects);
+        if suspects.has_succeeded(fingerprint) {
+            return false;
+        }
+        suspects.note_loss(fingerprint, node.address(), loss, now)
+    };
+    log::warn!(event = "suspect", fingerprint:% = fingerprint, target:% = address; "gate");
+    if is_new {
+        let rumor = Rumor::Suspect {
+            fingerprint,
+            node: node.address(),
+            loss,
+        };
+        gossip::spread(node, rumor).await;
+    }
+    true
+}
+
+async fn claim(node: &NodeHandle, call: &GateCall, key: KeyHash) -> ClaimVerdict {
+    let holder = ClaimHolder {
+        run: call.call,
+        hop: node.settings.hop,
+        life: node.life,
+    };
+    node.claims.claim(key, holder, call.deadline.at()).await
+}
+
+/// Answers with the result of the run that holds the key.
+async fn ask_holder(node: &NodeHandle, call: &GateCall, holder: ClaimHolder) -> Response<NodeBody> {
+    let asked = async {
+        if holder.hop == node.settings.hop {
+            if holder.life != node.life {
+                return InquiryAnswer::Unknown;
+            }
+            return port::inquire(node, ASK_INQUIRE, holder.run).await;
+        }
+        hop::ask(node, holder.hop, ASK_INQUIRE, holder.run, holder.life)
+            .await
+            .unwrap_or(InquiryAnswer::Unknown)
+    };
+    let answer = timeout_at(call.deadline.at().into(), asked)
+        .await
+        .unwrap_or(InquiryAnswer::Unknown);
+    inquiry_response(&answer, RefusalReason::ClaimLost)
+}
--- /dev/null
+++ b/wisteriaturnd/src/gossip.rs
@@ -0,0 +1,395 @@
+//! Datagrams: sending them, receiving them, and passing news on.
+//!
+//! News goes on when it told this node something new, to a few random nodes
+//! of the data centre; a relay also passes it to the relays of the other data
+//! centres, and nobody else sends news across. So the bytes on billed links
+//! grow with the number of data centres and not with the number of nodes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::oneshot;
+use wisteriaturn::clock::lock;
+use wisteriaturn::ids::{ConfigVersion, DataCentre, NodeAddress};
+use wisteriaturn::invariant::{Rule, check};
+use wisteriaturn::member::probe::random_peers;
+use wisteriaturn::member::record::{MemberRecord, MemberState};
+use wisteriaturn::member::rumor::Rumor;
+use wisteriaturn::member::table::MergeOutcome;
+use wisteriaturn::peer::auth::TAG_LENGTH;
+use wisteriaturn::peer::message::{
+    DATAGRAM_LIMIT, Datagram, NodeStatus, RUMOR_BUDGET, decode, encode,
+};
+
+use crate::metrics::TrafficKind;
+use crate::node::{NodeHandle, NodeState};
+use crate::peer_client;
+use crate::store::StoreStep;
+
+/// Bytes of IP and UDP headers, counted so that control bytes are what the
+/// network carries.
+const HEADER_BYTES: usize = 28;
+
+/// Largest record that goes along in a datagram.
+const INLINE_LIMIT: usize = DATAGRAM_LIMIT - TAG_LENGTH - 32;
+
+/// Sends a datagram; a loss is found by the next probe.
+pub async fn send(node: &NodeState, to: SocketAddr, datagram: &Datagram, kind: TrafficKind) {
+    let Ok(message) = encode(datagram) else {
+        return;
+    };
+    let sealed = node.settings.keys.seal(message);
+    if sealed.len() > DATAGRAM_LIMIT {
+        node.metrics.note_drop("datagram-too-large");
+        return;
+    }
+    node.note_sent(kind, to, sealed.len() + HEADER_BYTES);
+    let _ = node.udp.send_to(&sealed, to).await;
+}
+
+/// Sends a ping and returns what the other node says of itself, if it answers.
+pub async fn ping(node: &NodeState, to: NodeAddress, wait: Duration) -> Option<NodeStatus> {
+    let nonce = rand::random();
+    let receiver = expect_ack(node, nonce);
+    let datagram = Datagram::Ping {
+        nonce,
+        status: node.status(),
+        rumors: lock(&node.rumors).take(RUMOR_BUDGET),
+    };
+    send(node, to, &datagram, TrafficKind::Probe).await;
+    wait_ack(node, nonce, receiver, wait).await
+}
+
+/// Asks others to ping a node; returns whether one of them reached it.
+pub async fn ping_through(
+    node: &NodeState,
+    helpers: &[NodeAddress],
+    target: NodeAddress,
+    wait: Duration,
+) -> bool {
+    let nonce = rand::random();
+    let receiver = expect_ack(node, nonce);
+    for helper in helpers {
+        send(
+            node,
+            *helper,
+            &Datagram::PingFor { nonce, target },
+            TrafficKind::Probe,
+        )
+        .await;
+    }
+    wait_ack(node, nonce, receiver, wait).await.is_some()
+}
+
+fn expect_ack(node: &NodeState, nonce: u64) -> oneshot::Receiver<NodeStatus> {
+    let (sender, receiver) = oneshot::channel();
+    lock(&node.pending).insert(nonce, sender);
+    receiver
+}
+
+async fn wait_ack(
+    node: &NodeState,
+    nonce: u64,
+    receiver: oneshot::Receiver<NodeStatus>,
+    wait: Duration,
+) -> Option<NodeStatus> {
+    let answer = tokio::time::timeout(wait, receiver).await;
+    lock(&node.pending).remove(&nonce);
+    answer.ok()?.ok()
+}
+
+fn answer_pending(node: &NodeState, nonce: u64, status: NodeStatus) {
+    if let Some(sender) = lock(&node.pending).remove(&nonce) {
+        let _ = sender.send(status);
+    }
+}
+
+/// Receives datagrams for as long as the node runs.
+pub async fn receive_task(node: NodeHandle) {
+    let mut buffer = vec![0; DATAGRAM_LIMIT + 1];
+    loop {
+        let (length, from) = match node.udp.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // Linux reports an earlier send to a closed port here.
+                log::debug!(event = "udp-error", error:% = error; "peer");
+                continue;
+            }
+        };
+        if length > DATAGRAM_LIMIT {
+            node.metrics.note_drop("datagram-too-large");
+            continue;
+        }
+        let Ok(message) = node.settings.keys.open(&buffer[..length]) else {
+            node.metrics.note_drop("datagram-unauthenticated");
+            continue;
+        };
+        match decode(message) {
+            Ok(datagram) => receive(&node, from, datagram).await,
+            Err(_) => node.metrics.note_drop("datagram-malformed"),
+        }
+    }
+}
+
+async fn receive(node: &NodeHandle, from: SocketAddr, datagram: Datagram) {
+    match datagram {
+        Datagram::Ping {
+            nonce,
+            status,
+            rumors,
+        } => {
+            note_status(node, from, status);
+            learn_all(node, from, rumors, false).await;
+            let mut rumors = lock(&node.rumors).take(RUMOR_BUDGET);
+            rumors.extend(standing_of(node, from));
+            let answer = Datagram::Ack {
+                nonce,
+                status: node.status(),
+                rumors,
+            };
+            send(node, from, &answer, TrafficKind::Probe).await;
+        }
+        Datagram::Ack {
+            nonce,
+            status,
+            rumors,
+        } => {
+            answer_pending(node, nonce, status);
+            note_status(node, from, status);
+            learn_all(node, from, rumors, false).await;
+        }
+        Datagram::PingFor { nonce, target } => {
+            tokio::spawn(ping_for(node.clone(), from, nonce, target));
+        }
+        Datagram::AckFor { nonce } => answer_pending(node, nonce, node.status()),
+        Datagram::Record { version, record } => {
+            receive_record(node, from, version, record).await;
+        }
+        Datagram::News { rumors } => learn_all(node, from, rumors, true).await,
+    }
+}
+
+async fn ping_for(node: NodeHandle, asker: SocketAddr, nonce: u64, target: NodeAddress) {
+    if lock(&node.table).get(target).is_none() {
+        return;
+    }
+    let wait = node.settings.tuning.probe_timeout;
+    if ping(&node, target, wait).await.is_some() {
+        send(
+            &node,
+            asker,
+            &Datagram::AckFor { nonce },
+            TrafficKind::Probe,
+        )
+        .await;
+    }
+}
+
+/// Returns what this node holds against the sender, so that it can refute.
+fn standing_of(node: &NodeState, address: SocketAddr) -> Option<Rumor> {
+    let table = lock(&node.table);
+    let record = &table.get(address)?.record;
+    (record.state != MemberState::Alive).then(|| Rumor::Member(record.clone()))
+}
+
+/// Compares the state of another node with the own one.
+fn note_status(node: &NodeHandle, from: SocketAddr, status: NodeStatus) {
+    lock(&node.table).note_held(from, status.version);
+    let own = node.status();
+    if status.version > own.version {
+        peer_client::spawn_pull(node, from);
+    }
+    if status.version == own.version {
+        check(Rule::SameFold, status.chain == own.chain);
+    }
+}
+
+async fn receive_record(
+    node: &NodeHandle,
+    from: SocketAddr,
+    version: ConfigVersion,
+    record: Option<Bytes>,
+) {
+    let Some(record) = record else {
+        if version > lock(&node.store).version() {
+            peer_client::spawn_pull(node, from);
+        }
+        return;
+    };
+    match fold_record(node, version, &record) {
+        StoreStep::Folded(_) => push_record(node, version, &record).await,
+        StoreStep::Known => {}
+        StoreStep::Gap => peer_client::spawn_pull(node, from),
+    }
+}
+
+/// Folds one record and puts the result in force.
+pub fn fold_record(node: &NodeState, version: ConfigVersion, record: &Bytes) -> StoreStep {
+    let step = lock(&node.store).fold(version, record);
+    if let StoreStep::Folded(verdict) = &step {
+        node.publish_view();
+        log::info!(event = "folded", version:% = version, verdict:? = verdict; "config");
+    }
+    step
+}
+
+/// Pushes a configuration record to a few nodes of the data centre.
+pub async fn push_record(node: &NodeState, version: ConfigVersion, record: &Bytes) {
+    let datagram = Datagram::Record {
+        version,
+        record: (record.len() <= INLINE_LIMIT).then(|| record.clone()),
+    };
+    for peer in some_peers(node) {
+        send(node, peer, &datagram, TrafficKind::Push).await;
+    }
+}
+
+fn some_peers(node: &NodeState) -> Vec<NodeAddress> {
+    let fanout = node.settings.tuning.fanout;
+    random_peers(&lock(&node.table), fanout, &mut rand::rng())
+}
+
+async fn learn_all(node: &NodeHandle, from: SocketAddr, rumors: Vec<Rumor>, is_pushed: bool) {
+    let mut news = Vec::new();
+    let mut has_members = false;
+    for rumor in rumors {
+        let is_member = matches!(rumor, Rumor::Member(_));
+        if learn(node, rumor.clone()).await {
+            has_members |= is_member;
+            news.push(rumor);
+        }
+    }
+    if has_members {
+        node.members_changed.notify_one();
+    }
+    if news.is_empty() {
+        return;
+    }
+    queue(node, &news);
+    if is_pushed {
+        push_news(node, &news).await;
+    }
+    relay_news(node, from, news).await;
+}
+
+/// Takes one piece of news and returns whether it was new.
+async fn learn(node: &NodeHandle, rumor: Rumor) -> bool {
+    let now = node.clock.now();
+    match rumor {
+        Rumor::Member(record) => {
+            let outcome = lock(&node.table).merge(record, now);
+            match outcome {
+                MergeOutcome::Taken => true,
+                MergeOutcome::Refuted => {
+                    let own = lock(&node.table).own().clone();
+                    log::info!(event = "refuted", sequence:% = own.sequence; "member");
+                    Box::pin(spread_own(node, own)).await;
+                    false
+                }
+                MergeOutcome::Full => {
+                    node.metrics.note_drop("member-table-full");
+                    false
+                }
+                _ => false,
+            }
+        }
+        Rumor::Suspect {
+            fingerprint,
+            node: place,
+            loss,
+        } => lock(&node.suspects).note_loss(fingerprint, place, loss, now),
+        Rumor::Cleared { fingerprint } => lock(&node.suspects).clear(fingerprint),
+    }
+}
+
+fn queue(node: &NodeState, news: &[Rumor]) {
+    let members = lock(&node.table).len();
+    let mut rumors = lock(&node.rumors);
+    for rumor in news {
+        rumors.push(rumor.clone(), members);
+    }
+}
+
+/// Sends news, cut into datagrams, to a few nodes of the data centre.
+async fn push_news(node: &NodeState, news: &[Rumor]) {
+    for peer in some_peers(node) {
+        send_news(node, peer, news).await;
+    }
+}
+
+async fn send_news(node: &NodeState, to: NodeAddress, news: &[Rumor]) {
+    // A member record with its targets stays far below a datagram, and pushes
+    // rarely hold more than one, so one rumor a datagram keeps this simple.
+    for rumor in news {
+        let datagram = Datagram::News {
+            rumors: vec![rumor.clone()],
+        };
+        send(node, to, &datagram, TrafficKind::Push).await;
+    }
+}
+
+/// Passes news of this data centre to the relays of the others.
+async fn relay_news(node: &NodeState, from: SocketAddr, news: Vec<Rumor>) {
+    if !node.is_relay() {
+        return;
+    }
+    let own = &node.settings.data_centre;
+    let is_near_sender = place_of(node, from).as_ref() == Some(own);
+    let near: Vec<Rumor> = news
+        .into_iter()
+        .filter(|rumor| match rumor {
+            Rumor::Member(record) => record.data_centre == *own,
+            Rumor::Suspect { .. } | Rumor::Cleared { .. } => is_near_sender,
+        })
+        .collect();
+    if near.is_empty() {
+        return;
+    }
+    for relay in node.far_relays().into_values().flatten() {
+        send_news(node, relay, &near).await;
+    }
+}
+
+fn place_of(node: &NodeState, address: SocketAddr) -> Option<DataCentre> {
+    let table = lock(&node.table);
+    table
+        .get(address)
+        .map(|entry| entry.record.data_centre.clone())
+}
+
+/// Spreads the own record as urgent news.
+pub async fn spread_own(node: &NodeHandle, record: MemberRecord) {
+    spread(node, Rumor::Member(record)).await;
+}
+
+/// Spreads a piece of news that this node found out itself.
+pub async fn spread(node: &NodeHandle, rumor: Rumor) {
+    let news = vec![rumor];
+    queue(node, &news);
+    push_news(node, &news).await;
+    let near = {
+        let table = lock(&node.table);
+        wisteriaturn::member::relay::relays(&table, &node.settings.data_centre)
+    };
+    for relay in near.into_iter().filter(|relay| *relay != node.address()) {
+        send_news(node, relay, &news).await;
+    }
+    relay_news(node, node.address(), news).await;
+}
+
+/// Joins members into the view when they changed, but not on every change: a
+/// herd of restarts would have every node build hundreds of views a second.
+pub async fn view_task(node: NodeHandle) {
+    const LEAST_INTERVAL: Duration = Duration::from_millis(20);
+    loop {
+        node.members_changed.notified().await;
+        node.publish_view();
+        let live = {
+            let table = lock(&node.table);
+            table.iter().filter(|entry| entry.record.is_live()).count()
+        };
+        node.metrics.members.set(live as i64);
+        tokio::time::sleep(LEAST_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -0,0 +1,221 @@
+//! One call of a caller: read, routed, attempted and answered.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http_body_util::Limited;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::{Method, Request, Response};
+use rand::RngExt;
+use tokio::time::timeout_at;
+use wisteriaturn::clock::lock;
+use wisteriaturn::config::view::{RouteEntry, ServiceEntry, ServingView};
+use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
+use wisteriaturn::gate::quarantine::RequestStanding;
+use wisteriaturn::ids::Fingerprint;
+use wisteriaturn::retry::deadline::CallDeadline;
+use wisteriaturn::route::limit::RoutePermit;
+
+use crate::body::{BodyEnd, GuardedBody, NodeBody, RequestBody, boxed};
+use crate::gate::answer::refusal;
+use crate::headers;
+use crate::ingress::attempt::{self, RoutedCall};
+use crate::logs::Clean;
+use crate::metrics::CallLabels;
+use crate::node::{NodeHandle, NodeStage};
+
+/// What is known of a call when it ends, for its log line and metrics.
+#[derive(Debug)]
+struct CallRecord {
+    node: NodeHandle,
+    method: Method,
+    path: String,
+    route: String,
+    started: Instant,
+    outcome: CallOutcome,
+    reason: &'static str,
+    status: u16,
+}
+
+impl CallRecord {
+    fn finish(self, end: BodyEnd) {
+        let took = self.node.clock.now().duration_since(self.started);
+        self.node.metrics.call_seconds.observe(took.as_secs_f64());
+        let labels = CallLabels {
+            outcome: self.outcome.name(),
+            reason: self.reason,
+        };
+        self.node.metrics.calls.get_or_create(&labels).inc();
+        log::info!(
+            event = "call",
+            method:% = Clean(self.method.as_str()),
+            path:% = Clean(&self.path),
+            route:% = self.route,
+            outcome:% = self.outcome,
+            reason = self.reason,
+            status = self.status,
+            took_us = took.as_micros() as u64,
+            body:? = end;
+            "call"
+        );
+    }
+}
+
+/// Serves one request of a caller.
+pub async fn handle(node: &NodeHandle, request: Request<Incoming>) -> Response<NodeBody> {
+    let started = node.clock.now();
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let (response, route, permit) = match Box::pin(serve(node, request)).await {
+        Ok(served) => (served.response, served.route, Some(served.permit)),
+        Err(reason) => (refusal(CallOutcome::NotRun, reason), None, None),
+    };
+    let record = CallRecord {
+        node: node.clone(),
+        method,
+        path,
+        route: route.unwrap_or_else(|| "-".to_owned()),
+        started,
+        outcome: headers::parsed(response.headers(), &headers::OUTCOME)
+            .unwrap_or(CallOutcome::Unknown),
+        reason: headers::parsed::<RefusalReason>(response.headers(), &headers::REASON)
+            .map_or("none", RefusalReason::name),
+        status: response.status().as_u16(),
+    };
+    response.map(|body| {
+        boxed(GuardedBody::new(body, move |end| {
+            drop(permit);
+            record.finish(end);
+        }))
+    })
+}
+
+struct ServedCall {
+    response: Response<NodeBody>,
+    route: Option<String>,
+    permit: RoutePermit,
+}
+
+async fn serve(node: &NodeHandle, request: Request<Incoming>) -> Result<ServedCall, RefusalReason> {
+    if node.current_stage() == NodeStage::Starting {
+        return Err(RefusalReason::NotReady);
+    }
+    check_framing(node, &request)?;
+    let view = node.view.load();
+    let host = host_of(&request).ok_or(RefusalReason::BadRequest)?;
+    let route = view
+        .config
+        .find_route(&host, request.uri().path())
+        .cloned()
+        .ok_or(RefusalReason::NoRoute)?;
+    let most = route.spec.max_concurrent;
+    let permit = node
+        .limits
+        .enter(&route.spec.name, most)
+        .ok_or(RefusalReason::RouteLimit)?;
+    let asked = headers::deadline(request.headers());
+    let deadline = CallDeadline::of_call(&node.clock, route.spec.deadline(), asked);
+    let call = read(node, view, Arc::clone(&route), deadline, &host, request).await?;
+    let response = attempt::run(node, call).await;
+    Ok(ServedCall {
+        response,
+        route: Some(route.spec.name.to_string()),
+        permit,
+    })
+}
+
+/// Refuses a request whose framing two readers could take differently, or
+/// whose body is over the bound.
+fn check_framing(node: &NodeHandle, request: &Request<Incoming>) -> Result<(), RefusalReason> {
+    let map = request.headers();
+    let has_both = map.contains_key(CONTENT_LENGTH) && map.contains_key(TRANSFER_ENCODING);
+    let most = node.settings.tuning.max_body_bytes;
+    let is_large = request.body().size_hint().lower() > most;
+    if has_both || is_large || map.get_all(HOST).iter().count() > 1 {
+        return Err(RefusalReason::BadRequest);
+    }
+    Ok(())
+}
+
+fn host_of(request: &Request<Incoming>) -> Option<String> {
+    match request.uri().host() {
+        Some(host) => Some(host.to_owned()),
+        None => headers::text(request.headers(), &HOST).map(str::to_owned),
+    }
+}
+
+async fn read(
+    node: &NodeHandle,
+    view: Arc<ServingView>,
+    route: Arc<RouteEntry>,
+    deadline: CallDeadline,
+    host: &str,
+    request: Request<Incoming>,
+) -> Result<RoutedCall, RefusalReason> {
+    let (mut parts, body) = request.into_parts();
+    headers::strip_hop_by_hop(&mut parts.headers);
+    headers::strip_mesh(&mut parts.headers);
+    let is_idempotent = route
+        .spec
+        .idempotent
+        .unwrap_or_else(|| parts.method.is_idempotent());
+    let key = parts.headers.get(headers::IDEMPOTENCY_KEY).cloned();
+    if key
+        .as_ref()
+        .is_some_and(|key| key.len() > headers::KEY_LIMIT)
+    {
+        return Err(RefusalReason::BadRequest);
+    }
+    let limit = node.settings.tuning.replay_bytes;
+    let most = usize::try_from(node.settings.tuning.max_body_bytes).unwrap_or(usize::MAX);
+    let reading = RequestBody::read(boxed(Limited::new(body, most)), limit);
+    let body = timeout_at(deadline.at().into(), reading)
+        .await
+        .map_err(|_| RefusalReason::Deadline)?
+        .map_err(|_| RefusalReason::BadRequest)?;
+    let service = choose_service(&route);
+    let fingerprint = match key.as_ref().filter(|_| !is_idempotent) {
+        Some(key) => Fingerprint::of_parts(&[b"key", key.as_bytes()]),
+        None => Fingerprint::of_parts(&[
+            parts.method.as_str().as_bytes(),
+            host.as_bytes(),
+            parts.uri.to_string().as_bytes(),
+            body.head(),
+        ]),
+    };
+    let standing = lock(&node.suspects).standing(fingerprint, node.clock.now());
+    if let RequestStanding::Quarantined(_) = standing {
+        return Err(RefusalReason::Quarantined);
+    }
+    Ok(RoutedCall {
+        view,
+        route,
+        service,
+        deadline,
+        is_idempotent,
+        has_key: key.is_some(),
+        fingerprint,
+        parts,
+        body,
+    })
+}
+
+/// Chooses one of a route's services by weight.
+fn choose_service(route: &RouteEntry) -> Arc<ServiceEntry> {
+    let total: u64 = route
+        .services
+        .iter()
+        .map(|(_, weight)| u64::from(*weight))
+        .sum();
+    // Validation lets no route pass whose weights sum to zero.
+    let mut point = rand::rng().random_range(0..total.max(1));
+    for (service, weight) in &route.services {
+        let weight = u64::from(*weight);
+        if point < weight {
+            return Arc::clone(service);
+        }
+        point -= weight;
+    }
+    Arc::clone(&route.services[0].0)
+}
--- /dev/null
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -0,0 +1,121 @@
+//! The life of a node: opening its ports, running its tasks, and the planned
+//! stop that cuts no request.
+
+use std::time::Duration;
+
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
+use wisteriaturn::clock::{SharedClock, lock};
+use wisteriaturn::invariant;
+use wisteriaturn::log_port::LogPort;
+use wisteriaturn::member::record::MemberState;
+
+use crate::admin;
+use crate::follow;
+use crate::gate;
+use crate::gossip;
+use crate::ingress;
+use crate::node::{NodeBuilder, NodeHandle, NodeStage};
+use crate::peer_server;
+use crate::prober;
+use crate::settings::NodeSettings;
+use crate::start;
+use crate::targets;
+
+/// How often a stopping node looks whether its gates are empty.
+const EMPTY_CHECK: Duration = Duration::from_millis(10);
+
+/// Time in which the others hear of a leaving target before the gates count as
+/// empty: calls that were on their way are then refused by this node and not
+/// by a closed port.
+const LEAVE_NOTICE: Duration = Duration::from_millis(500);
+
+/// A node that runs.
+#[derive(Debug)]
+pub struct RunningNode {
+    /// The node.
+    pub node: NodeHandle,
+    connections: TaskTracker,
+}
+
+impl RunningNode {
+    /// Opens the ports and starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// The error of a port that cannot be opened.
+    pub async fn start(
+        settings: NodeSettings,
+        clock: SharedClock,
+        log: LogPort,
+    ) -> std::io::Result<Self> {
+        invariant::set_strict(settings.strict);
+        let udp = UdpSocket::bind(settings.peer).await?;
+        let peer = TcpListener::bind(settings.peer).await?;
+        let hop = TcpListener::bind(settings.hop).await?;
+        let ingress = TcpListener::bind(settings.ingress).await?;
+        let admin = TcpListener::bind(settings.admin).await?;
+        let node = NodeBuilder::new(settings, clock, log, udp).build();
+        let connections = TaskTracker::new();
+        tokio::spawn(gossip::receive_task(node.clone()));
+        tokio::spawn(gossip::view_task(node.clone()));
+        tokio::spawn(peer_server::accept_task(node.clone(), peer));
+        tokio::spawn(admin::port::accept_task(node.clone(), admin));
+        let tracker = connections.clone();
+        tokio::spawn(gate::port::accept_task(node.clone(), hop, tracker.clone()));
+        tokio::spawn(ingress::port::accept_task(node.clone(), ingress, tracker));
+        tokio::spawn(targets::expire_task(node.clone()));
+        tokio::spawn(start_then_follow(node.clone()));
+        log::info!(
+            event = "started",
+            node:% = node.address(),
+            ingress:% = node.settings.ingress,
+            admin:% = node.settings.admin,
+            data_centre:% = node.settings.data_centre;
+            "node"
+        );
+        Ok(Self { node, connections })
+    }
+
+    /// Stops as planned: the gates refuse new calls at once and the others are
+    /// told; calls in flight end; the ingress closes last, since a target may
+    /// need it to end its own calls.
+    pub async fn stop(self) {
+        let node = &self.node;
+        let time = node.settings.tuning.drain_timeout;
+        log::info!(event = "stopping", calls_at_gate = node.targets.in_flight(); "node");
+        node.stage.send_replace(NodeStage::Draining);
+        node.metrics.ready.set(0);
+        targets::drain_all(node).await;
+        if timeout(time, wait_empty(node)).await.is_err() {
+            log::warn!(event = "drain-cut", calls_at_gate = node.targets.in_flight(); "node");
+        }
+        node.stage.send_replace(NodeStage::Stopping);
+        self.connections.close();
+        if timeout(time, self.connections.wait()).await.is_err() {
+            log::warn!(event = "connections-cut", open = self.connections.len(); "node");
+        }
+        let record = {
+            let mut table = lock(&node.table);
+            table.update_own(node.clock.now(), |own| own.state = MemberState::Left)
+        };
+        gossip::spread_own(node, record).await;
+        log::info!(event = "stopped"; "node");
+        log::logger().flush();
+    }
+}
+
+async fn start_then_follow(node: NodeHandle) {
+    start::start_task(node.clone()).await;
+    tokio::spawn(prober::probe_task(node.clone()));
+    tokio::spawn(start::reseed_task(node.clone()));
+    follow::follow_task(node).await;
+}
+
+async fn wait_empty(node: &NodeHandle) {
+    tokio::time::sleep(LEAVE_NOTICE).await;
+    while node.targets.in_flight() > 0 {
+        tokio::time::sleep(EMPTY_CHECK).await;
+    }
+}
--- /dev/null
+++ b/wisteriaturnd/src/log_http.rs
@@ -0,0 +1,198 @@
+//! The adapter to the platform's log over HTTP/1.1 and JSON.
+//!
+//! All that is particular to this protocol is in this file, so that another
+//! one costs one file. [docs/DESIGN.md](../../docs/DESIGN.md#7-the-edges) has
+//! the requests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, Request, StatusCode};
+use serde::Deserialize;
+use tokio::time::timeout;
+use wisteriaturn::error::LogError;
+use wisteriaturn::ids::Offset;
+use wisteriaturn::log_port::{LogBatch, LogPort, LogRecord, ReadRequest};
+
+use crate::body::full;
+use crate::exchange::{self, ExchangeError};
+use crate::pool::LinkPool;
+
+/// Time for the log to answer beyond what a read may wait.
+const ANSWER_TIME: Duration = Duration::from_secs(3);
+
+/// Largest answer in bytes.
+const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
+
+#[derive(Debug, Deserialize)]
+struct AppendReply {
+    offset: Offset,
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadReply {
+    first: Offset,
+    next: Offset,
+    records: Vec<RecordReply>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RecordReply {
+    offset: Offset,
+    data: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct TrimReply {
+    first: Offset,
+}
+
+#[derive(Clone)]
+struct HttpLog {
+    address: SocketAddr,
+    pool: LinkPool,
+}
+
+/// Returns a port to the log service at `address`.
+pub fn http_log(address: SocketAddr) -> LogPort {
+    let service = HttpLog {
+        address,
+        pool: LinkPool::to_targets(),
+    };
+    let reader = service.clone();
+    LogPort::new(
+        move |stream, data| {
+            let service = service.clone();
+            Box::pin(async move { service.append(&stream, data).await })
+        },
+        move |request| {
+            let service = reader.clone();
+            Box::pin(async move { service.read(&request).await })
+        },
+    )
+}
+
+impl HttpLog {
+    async fn append(&self, stream: &str, data: Bytes) -> Result<Offset, LogError> {
+        let path = format!("/streams/{stream}/records");
+        let (status, body) = self
+            .exchange(Method::POST, path, data, Duration::ZERO)
+            .await?;
+        if status.is_client_error() {
+            return Err(LogError::Refused(status.to_string()));
+        }
+        if status != StatusCode::OK {
+            // The record may have been written before the error.
+            return Err(LogError::Lost(status.to_string()));
+        }
+        let reply: AppendReply = decode(&body)?;
+        Ok(reply.offset)
+    }
+
+    async fn read(&self, request: &ReadRequest) -> Result<LogBatch, LogError> {
+        let path = format!(
+            "/streams/{}/records?from={}&limit={}&wait_ms={}",
+            request.stream,
+            request.from,
+            request.limit,
+            request.wait.as_millis()
+        );
+        let (status, body) = self
+            .exchange(Method::GET, path, Bytes::new(), request.wait)
+            .await?;
+        match status {
+            StatusCode::OK => to_batch(decode(&body)?, request.from),
+            StatusCode::GONE => {
+                let reply: TrimReply = decode(&body)?;
+                Err(LogError::Trimmed { first: reply.first })
+            }
+            _ => Err(LogError::Lost(status.to_string())),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: String,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<(StatusCode, Bytes), LogError> {
+        timeout(wait + ANSWER_TIME, self.exchange_now(method, path, body))
+            .await
+            .map_err(|_| LogError::Lost("no answer in time".to_owned()))?
+    }
+
+    async fn exchange_now(
+        &self,
+        method: Method,
+        path: String,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), LogError> {
+        let refused = |why: String| LogError::Refused(why);
+        let lost = |why: String| LogError::Lost(why);
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(hyper::header::HOST, self.address.to_string())
+            .body(full(body))
+            .map_err(|error| refused(error.to_string()))?;
+        loop {
+            let mut link = self
+                .pool
+                .take(self.address)
+                .await
+                .map_err(|error| refused(error.to_string()))?;
+            let response = match exchange::send(&mut link, request).await {
+                Ok(response) => response,
+                Err(ExchangeError::Unsent(unsent)) if link.is_reused => {
+                    request = *unsent;
+                    continue;
+                }
+                Err(ExchangeError::Unsent(_)) => return Err(refused("not sent".to_owned())),
+                Err(ExchangeError::Lost(error)) => return Err(lost(error.to_string())),
+            };
+            let status = response.status();
+            let body = Limited::new(response.into_body(), ANSWER_LIMIT)
+                .collect()
+                .await
+                .map_err(|error| lost(error.to_string()))?
+                .to_bytes();
+            self.pool.give_back(link);
+            return Ok((status, body));
+        }
+    }
+}
+
+fn decode<T>(body: &[u8]) -> Result<T, LogError>
+where
+    T: serde::de::DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|error| LogError::Lost(format!("bad answer: {error}")))
+}
+
+/// Checks that the records follow each other from the offset asked for: an
+/// answer that was delayed or repeated must not be folded in a wrong place.
+fn to_batch(reply: ReadReply, from: Offset) -> Result<LogBatch, LogError> {
+    let mut records = Vec::with_capacity(reply.records.len());
+    for (expected, record) in (from.0..).zip(reply.records) {
+        let data = STANDARD
+            .decode(&record.data)
+            .map_err(|error| LogError::Lost(format!("bad record: {error}")))?;
+        if record.offset.0 != expected {
+            return Err(LogError::Lost("records out of order".to_owned()));
+        }
+        records.push(LogRecord {
+            offset: record.offset,
+            data: Bytes::from(data),
+        });
+    }
+    Ok(LogBatch {
+        first: reply.first,
+        next: reply.next,
+        records,
+    })
+}
--- /dev/null
+++ b/wisteriaturnd/src/node.rs
@@ -0,0 +1,317 @@
+//! The state that the tasks of a node share.
+//!
+//! [`NodeHandle`] is cheap to clone and every task holds one. Each part has a
+//! lock of its own, held for a few steps and never across an await, and what a
+//! call needs most, the view in force, needs no lock at all.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, oneshot, watch};
+use wisteriaturn::clock::{SharedClock, lock};
+use wisteriaturn::config::view::{ServingView, ViewCell};
+use wisteriaturn::gate::ledger::CallLedger;
+use wisteriaturn::gate::quarantine::SuspectTable;
+use wisteriaturn::ids::{
+    ConfigVersion, DataCentre, Incarnation, LifeId, NodeAddress, Sequence, ServiceName,
+};
+use wisteriaturn::log_port::LogPort;
+use wisteriaturn::member::record::{MemberRecord, MemberState};
+use wisteriaturn::member::relay::relays;
+use wisteriaturn::member::rumor::RumorQueue;
+use wisteriaturn::member::table::MemberTable;
+use wisteriaturn::peer::message::NodeStatus;
+use wisteriaturn::retry::budget::RetryBudget;
+use wisteriaturn::route::choose::NodePlace;
+use wisteriaturn::route::limit::RouteLimit;
+use wisteriaturn::route::load::LoadBook;
+
+use crate::claims::ClaimDesk;
+use crate::keeper::ClaimKeeper;
+use crate::metrics::{NodeMetrics, TrafficKind, TrafficReach};
+use crate::pool::LinkPool;
+use crate::settings::NodeSettings;
+use crate::store::ConfigStore;
+use crate::targets::LocalTargets;
+
+/// The stage of a node's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum NodeStage {
+    /// The view is not current yet.
+    Starting,
+    /// The node serves.
+    Ready,
+    /// The gate refuses new calls; calls in flight end.
+    Draining,
+    /// The ingress closes as well.
+    Stopping,
+}
+
+/// What the tasks share.
+#[derive(Debug)]
+pub struct NodeState {
+    /// Checked settings.
+    pub settings: NodeSettings,
+    /// The clock.
+    pub clock: SharedClock,
+    /// This run of the process.
+    pub life: LifeId,
+    /// Where the node stands.
+    pub place: NodePlace,
+    /// The view in force.
+    pub view: ViewCell,
+    /// The folded configuration.
+    pub store: Mutex<ConfigStore>,
+    /// The members.
+    pub table: Mutex<MemberTable>,
+    /// News that rides along on probes.
+    pub rumors: Mutex<RumorQueue>,
+    /// Requests that crash targets.
+    pub suspects: Mutex<SuspectTable>,
+    /// Metrics.
+    pub metrics: NodeMetrics,
+    /// What was seen of each target.
+    pub load: LoadBook,
+    /// Calls under way on each route.
+    pub limits: RouteLimit,
+    /// Calls given to this gate.
+    pub ledger: CallLedger,
+    /// Targets beside this node.
+    pub targets: LocalTargets,
+    /// Connections to other nodes' gates.
+    pub hop_pool: LinkPool,
+    /// Connections to the local targets.
+    pub target_pool: LinkPool,
+    /// The platform's log.
+    pub log: LogPort,
+    /// Claims that this gate asks for.
+    pub claims: ClaimDesk,
+    /// Claim streams that this node writes.
+    pub keeper: ClaimKeeper,
+    /// The socket for datagrams.
+    pub udp: UdpSocket,
+    /// Probes that wait for their answer.
+    pub pending: Mutex<HashMap<u64, oneshot::Sender<NodeStatus>>>,
+    /// Tells the version in force to those who wait for one.
+    pub version: watch::Sender<ConfigVersion>,
+    /// Tells the stage to those who wait for one.
+    pub stage: watch::Sender<NodeStage>,
+    /// Wakes the task that joins members into the view.
+    pub members_changed: Notify,
+    /// Whether a pull of the configuration is under way.
+    pub is_pulling: AtomicBool,
+    /// Whether a comparison of members is under way.
+    pub is_comparing: AtomicBool,
+    /// Number of losses of a target at this gate.
+    pub losses: AtomicU64,
+    budgets: Mutex<BTreeMap<ServiceName, Arc<RetryBudget>>>,
+    first_seen: Mutex<HashMap<(NodeAddress, Incarnation, ServiceName), Instant>>,
+}
+
+/// A cheap handle to the state.
+#[derive(Debug, Clone)]
+pub struct NodeHandle(Arc<NodeState>);
+
+impl Deref for NodeHandle {
+    type Target = NodeState;
+
+    fn deref(&self) -> &NodeState {
+        &self.0
+    }
+}
+
+/// Collects what a node is made of.
+#[derive(Debug)]
+pub struct NodeBuilder {
+    settings: NodeSettings,
+    clock: SharedClock,
+    log: LogPort,
+    udp: UdpSocket,
+}
+
+impl NodeBuilder {
+    /// Returns a builder.
+    pub fn new(settings: NodeSettings, clock: SharedClock, log: LogPort, udp: UdpSocket) -> Self {
+        Self {
+            settings,
+            clock,
+            log,
+            udp,
+        }
+    }
+
+    /// Returns the node, which runs nothing yet.
+    pub fn build(self) -> NodeHandle {
+        let (settings, clock) = (self.settings, self.clock);
+        let own = MemberRecord {
+            address: settings.peer,
+            incarnation: Incarnation(clock.wall_millis()),
+            sequence: Sequence(0),
+            state: MemberState::Alive,
+            region: settings.region.clone(),
+            data_centre: settings.data_centre.clone(),
+            hop: settings.hop,
+            is_ready: false,
+            targets: Vec::new(),
+        };
+        let place = NodePlace {
+            region: settings.region.clone(),
+            data_centre: settings.data_centre.clone(),
+        };
+        let (claims, claim_queues) = ClaimDesk::new();
+        let (keeper, keeper_queues) = ClaimKeeper::new();
+        let node = NodeHandle(Arc::new(NodeState {
+            life: LifeId(rand::random()),
+            place,
+            view: ViewCell::new(),
+            store: Mutex::new(ConfigStore::new()),
+            table: Mutex::new(MemberTable::new(own, clock.now())),
+            rumors: Mutex::new(RumorQueue::new()),
+            suspects: Mutex::new(SuspectTable::new()),
+            metrics: NodeMetrics::new(),
+            load: LoadBook::new(),
+            limits: RouteLimit::new(),
+            ledger: CallLedger::new(Arc::clone(&clock)),
+            targets: LocalTargets::new(),
+            hop_pool: LinkPool::to_nodes(settings.keys.clone()),
+            target_pool: LinkPool::to_targets(),
+            log: self.log,
+            claims,
+            keeper,
+            udp: self.udp,
+            pending: Mutex::default(),
+            version: watch::Sender::new(ConfigVersion(0)),
+            stage: watch::Sender::new(NodeStage::Starting),
+            members_changed: Notify::new(),
+            is_pulling: AtomicBool::new(false),
+            is_comparing: AtomicBool::new(false),
+            losses: AtomicU64::new(0),
+            budgets: Mutex::default(),
+            first_seen: Mutex::default(),
+            settings,
+            clock,
+        }));
+        claim_queues.start(&node);
+        keeper_queues.start(&node);
+        node
+    }
+}
+
+impl NodeState {
+    /// Returns the address by which other nodes know this one.
+    pub fn address(&self) -> NodeAddress {
+        self.settings.peer
+    }
+
+    /// Returns the stage of the node.
+    pub fn current_stage(&self) -> NodeStage {
+        *self.stage.borrow()
+    }
+
+    /// Returns what every probe says of this node.
+    pub fn status(&self) -> NodeStatus {
+        let view = self.view.load();
+        let mut head = [0; 8];
+        head.copy_from_slice(&view.config.chain[..8]);
+        NodeStatus {
+            version: view.config.version,
+            chain: u64::from_le_bytes(head),
+            digest: lock(&self.table).digest(),
+        }
+    }
+
+    /// Puts the folded configuration, joined with the members, in force.
+    pub fn publish_view(&self) {
+        // The store's lock is held to the end, so that two tasks cannot put
+        // their views in force in the wrong order.
+        let store = lock(&self.store);
+        let config = store.view();
+        let view = {
+            let table = lock(&self.table);
+            let mut seen = lock(&self.first_seen);
+            let now = self.clock.now();
+            let members = table.iter().map(|entry| &entry.record);
+            let view = ServingView::build(config, members, |member, service| {
+                let key = (member.address, member.incarnation, service.clone());
+                *seen.entry(key).or_insert(now)
+            });
+            seen.retain(|(address, incarnation, _), _| {
+                table
+                    .get(*address)
+                    .is_some_and(|entry| entry.record.incarnation == *incarnation)
+            });
+            view
+        };
+        let version = view.config.version;
+        if let Err(error) = self.view.advance(view) {
+            log::error!(event = "view-refused", error:% = error; "config");
+            return;
+        }
+        drop(store);
+        self.metrics.config_version.set(version.0);
+        self.version.send_if_modified(|held| {
+            let is_newer = version > *held;
+            *held = version.max(*held);
+            is_newer
+        });
+    }
+
+    /// Tells whether this node is a relay of its data centre.
+    pub fn is_relay(&self) -> bool {
+        let table = lock(&self.table);
+        relays(&table, &self.settings.data_centre).contains(&self.settings.peer)
+    }
+
+    /// Returns the relays of the other data centres, each with its place.
+    pub fn far_relays(&self) -> BTreeMap<DataCentre, Vec<NodeAddress>> {
+        let table = lock(&self.table);
+        let places: Vec<DataCentre> = table.digests().keys().cloned().collect();
+        places
+            .into_iter()
+            .filter(|place| *place != self.settings.data_centre)
+            .map(|place| {
+                let found = relays(&table, &place);
+                (place, found)
+            })
+            .filter(|(_, found)| !found.is_empty())
+            .collect()
+    }
+
+    /// Returns how far traffic to a member goes.
+    pub fn reach(&self, address: SocketAddr) -> TrafficReach {
+        let table = lock(&self.table);
+        match table.get(address) {
+            Some(entry) if entry.record.data_centre == self.settings.data_centre => {
+                TrafficReach::DataCentre
+            }
+            Some(entry) if entry.record.region == self.settings.region => TrafficReach::Region,
+            Some(_) => TrafficReach::World,
+            None => TrafficReach::Unknown,
+        }
+    }
+
+    /// Counts control bytes sent to a member.
+    pub fn note_sent(&self, kind: TrafficKind, to: SocketAddr, bytes: usize) {
+        self.metrics.note_sent(kind, self.reach(to), bytes);
+    }
+
+    /// Returns the retry budget of a service.
+    pub fn budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Arc::new(RetryBudget::new(Arc::clone(&self.clock))));
+        Arc::clone(budget)
+    }
+
+    /// Returns the next number for a loss of a target.
+    pub fn next_loss(&self) -> u64 {
+        // Losses are told apart across restarts by the wall time.
+        self.clock.wall_millis() + self.losses.fetch_add(1, Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/wisteriaturnd/src/peer_client.rs
@@ -0,0 +1,240 @@
+//! Requests to other nodes over a connection.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use wisteriaturn::clock::lock;
+use wisteriaturn::config::snapshot::decode_snapshot;
+use wisteriaturn::ids::{ConfigVersion, NodeAddress};
+use wisteriaturn::member::record::MemberRecord;
+use wisteriaturn::peer::message::{FRAME_LIMIT, PeerAnswer, PeerRequest, decode, encode};
+
+use crate::error::LinkError;
+use crate::gossip;
+use crate::handshake::{self, PortUse};
+use crate::metrics::TrafficKind;
+use crate::node::{NodeHandle, NodeState};
+use crate::pool::CONNECT_TIME;
+use crate::store::StoreStep;
+
+/// Time for the answer to a request.
+pub const REQUEST_TIME: Duration = Duration::from_secs(5);
+
+/// Bytes of a TCP connection's packets without data, counted as sent by each
+/// side: opening, handshake acknowledgements and closing.
+const CONNECTION_BYTES: usize = 5 * 40;
+
+/// A connection to the peer port of a node.
+#[derive(Debug)]
+pub struct PeerLink {
+    framed: Framed<TcpStream, LengthDelimitedCodec>,
+    peer: NodeAddress,
+}
+
+/// Returns the framing of the peer port; a longer frame is refused before
+/// memory is taken for it.
+pub fn framing() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_LIMIT)
+        .new_codec()
+}
+
+impl PeerLink {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when the node cannot be reached or does not know the key.
+    pub async fn open(node: &NodeState, peer: NodeAddress) -> Result<Self, LinkError> {
+        let mut stream = timeout(CONNECT_TIME, TcpStream::connect(peer))
+            .await?
+            .map_err(|error| LinkError::Unreachable(error.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| LinkError::Unreachable(error.to_string()))?;
+        handshake::connect(&mut stream, &node.settings.keys, PortUse::Peer).await?;
+        Ok(Self {
+            framed: Framed::new(stream, framing()),
+            peer,
+        })
+    }
+
+    /// Sends a request and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] after which the connection must not be used again.
+    pub async fn ask(
+        &mut self,
+        node: &NodeState,
+        request: &PeerRequest,
+        kind: TrafficKind,
+    ) -> Result<PeerAnswer, LinkError> {
+        let message = encode(request)?;
+        node.note_sent(kind, self.peer, message.len() + 40);
+        timeout(REQUEST_TIME, self.exchange(Bytes::from(message))).await?
+    }
+
+    async fn exchange(&mut self, message: Bytes) -> Result<PeerAnswer, LinkError> {
+        self.framed.send(message).await.map_err(lost)?;
+        let answer = self
+            .framed
+            .next()
+            .await
+            .ok_or_else(|| LinkError::Lost("closed by the peer".to_owned()))?
+            .map_err(lost)?;
+        Ok(decode(&answer)?)
+    }
+}
+
+fn lost(error: std::io::Error) -> LinkError {
+    LinkError::Lost(error.to_string())
+}
+
+/// Makes one request over a connection of its own.
+///
+/// # Errors
+///
+/// [`LinkError`] as of [`PeerLink`].
+pub async fn request(
+    node: &NodeState,
+    peer: NodeAddress,
+    request: &PeerRequest,
+    kind: TrafficKind,
+) -> Result<PeerAnswer, LinkError> {
+    node.note_sent(kind, peer, CONNECTION_BYTES);
+    PeerLink::open(node, peer)
+        .await?
+        .ask(node, request, kind)
+        .await
+}
+
+/// Pulls the configuration from a peer unless a pull is under way.
+pub fn spawn_pull(node: &NodeHandle, peer: NodeAddress) {
+    if node.is_pulling.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let node = node.clone();
+    tokio::spawn(async move {
+        if let Err(error) = pull(&node, peer).await {
+            log::debug!(event = "pull-failed", peer:% = peer, error:% = error; "config");
+        }
+        node.is_pulling.store(false, Ordering::Release);
+    });
+}
+
+/// Pulls what this node does not hold from a peer, until the peer has no more.
+///
+/// # Errors
+///
+/// [`LinkError`] when the peer fails; what came before is in force.
+pub async fn pull(node: &NodeHandle, peer: NodeAddress) -> Result<(), LinkError> {
+    let mut link = PeerLink::open(node, peer).await?;
+    node.note_sent(TrafficKind::Transfer, peer, CONNECTION_BYTES);
+    loop {
+        let version = lock(&node.store).version();
+        let answer = link
+            .ask(node, &PeerRequest::Pull { version }, TrafficKind::Transfer)
+            .await?;
+        let has_more = match answer {
+            PeerAnswer::Tail { first, records } => take_tail(node, first, records).await,
+            PeerAnswer::Snapshot(snapshot) => take_snapshot(node, &snapshot)?,
+            _ => false,
+        };
+        if !has_more {
+            return Ok(());
+        }
+    }
+}
+
+async fn take_tail(node: &NodeHandle, first: ConfigVersion, records: Vec<Bytes>) -> bool {
+    let mut version = first;
+    let mut has_folded = false;
+    for record in records {
+        if let StoreStep::Folded(_) = gossip::fold_record(node, version, &record) {
+            has_folded = true;
+            gossip::push_record(node, version, &record).await;
+        }
+        version.0 += 1;
+    }
+    has_folded
+}
+
+fn take_snapshot(node: &NodeHandle, snapshot: &[u8]) -> Result<bool, LinkError> {
+    let state = decode_snapshot(snapshot)?;
+    let version = state.version();
+    let is_newer = lock(&node.store).adopt(state);
+    if is_newer {
+        node.publish_view();
+        log::info!(event = "snapshot-adopted", version:% = version; "config");
+    }
+    Ok(is_newer)
+}
+
+/// Compares members with a peer and exchanges what differs, unless a
+/// comparison is under way.
+pub fn spawn_compare(node: &NodeHandle, peer: NodeAddress) {
+    if node.is_comparing.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let node = node.clone();
+    tokio::spawn(async move {
+        if let Err(error) = compare(&node, peer).await {
+            log::debug!(event = "compare-failed", peer:% = peer, error:% = error; "member");
+        }
+        node.is_comparing.store(false, Ordering::Release);
+    });
+}
+
+async fn compare(node: &NodeHandle, peer: NodeAddress) -> Result<(), LinkError> {
+    let kind = TrafficKind::AntiEntropy;
+    let mut link = PeerLink::open(node, peer).await?;
+    node.note_sent(kind, peer, CONNECTION_BYTES);
+    let digests = lock(&node.table).digests().clone();
+    let answer = link
+        .ask(node, &PeerRequest::Compare { digests }, kind)
+        .await?;
+    let PeerAnswer::Differ(data_centres) = answer else {
+        return Ok(());
+    };
+    if data_centres.is_empty() {
+        return Ok(());
+    }
+    let records = records_in(node, &data_centres);
+    let request = PeerRequest::Exchange {
+        data_centres,
+        records,
+    };
+    if let PeerAnswer::Records(records) = link.ask(node, &request, kind).await? {
+        merge_records(node, records);
+    }
+    Ok(())
+}
+
+/// Returns the records of the members in some data centres.
+pub fn records_in(
+    node: &NodeState,
+    data_centres: &[wisteriaturn::ids::DataCentre],
+) -> Vec<MemberRecord> {
+    lock(&node.table)
+        .iter()
+        .filter(|entry| data_centres.contains(&entry.record.data_centre))
+        .map(|entry| entry.record.clone())
+        .collect()
+}
+
+/// Merges records that came over a connection.
+pub fn merge_records(node: &NodeHandle, records: Vec<MemberRecord>) {
+    let now = node.clock.now();
+    let mut table = lock(&node.table);
+    for record in records {
+        table.merge(record, now);
+    }
+    drop(table);
+    node.members_changed.notify_one();
+}
--- /dev/null
+++ b/wisteriaturnd/src/pool.rs
@@ -0,0 +1,181 @@
+//! Connections for calls, kept open between calls.
+//!
+//! A connection goes back to the pool only after a whole exchange; one with an
+//! abandoned exchange is closed, so an answer that comes late has no
+//! connection on which it could be taken for another one. The connections of a
+//! pool come from a closure, since those to other nodes begin with a
+//! handshake and those to a target do not.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use wisteriaturn::clock::lock;
+use wisteriaturn::ids::LifeId;
+use wisteriaturn::peer::auth::MeshKeys;
+
+use crate::body::NodeBody;
+use crate::error::LinkError;
+use crate::handshake::{self, PortUse};
+
+/// Time for a connection to open. A node in another region is 8 ms away; what
+/// takes longer than this is overloaded or cut off.
+pub const CONNECT_TIME: Duration = Duration::from_millis(500);
+
+/// How long an idle connection is kept.
+pub const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// Idle connections kept to one address.
+pub const IDLE_LIMIT: usize = 64;
+
+/// Largest head of an answer that a connection reads, in bytes.
+const HEAD_LIMIT: usize = 64 * 1024;
+
+/// A connection that is ready for one exchange.
+#[derive(Debug)]
+pub struct PooledLink {
+    /// Sends the request.
+    pub sender: SendRequest<NodeBody>,
+    /// Life of the node on the other side; 0 for a target.
+    pub life: LifeId,
+    /// Whether the connection served an exchange before.
+    pub is_reused: bool,
+    address: SocketAddr,
+}
+
+#[derive(Debug)]
+struct IdleLink {
+    sender: SendRequest<NodeBody>,
+    life: LifeId,
+    since: Instant,
+}
+
+/// Connections by address; a cheap handle.
+#[derive(Debug, Clone)]
+pub struct LinkPool {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleLink>>>>,
+    keys: Option<MeshKeys>,
+}
+
+impl LinkPool {
+    /// Returns a pool of connections to the hop ports of nodes.
+    pub fn to_nodes(keys: MeshKeys) -> Self {
+        Self {
+            idle: Arc::default(),
+            keys: Some(keys),
+        }
+    }
+
+    /// Returns a pool of connections to targets.
+    pub fn to_targets() -> Self {
+        Self {
+            idle: Arc::default(),
+            keys: None,
+        }
+    }
+
+    /// Returns an idle connection or opens one.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when none can be opened; nothing of a call was sent.
+    pub async fn take(&self, address: SocketAddr) -> Result<PooledLink, LinkError> {
+        if let Some(link) = self.take_idle(address) {
+            return Ok(link);
+        }
+        self.open(address).await
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::take`].
+    pub async fn open(&self, address: SocketAddr) -> Result<PooledLink, LinkError> {
+        timeout(CONNECT_TIME, self.open_now(address)).await?
+    }
+
+    async fn open_now(&self, address: SocketAddr) -> Result<PooledLink, LinkError> {
+        let mut stream = TcpStream::connect(address).await.map_err(unreachable)?;
+        stream.set_nodelay(true).map_err(unreachable)?;
+        let life = match &self.keys {
+            Some(keys) => handshake::connect(&mut stream, keys, PortUse::Hop).await?,
+            None => LifeId(0),
+        };
+        let (sender, connection) = Builder::new()
+            .max_buf_size(HEAD_LIMIT)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| LinkError::Unreachable(error.to_string()))?;
+        // The task ends with the connection; its error reaches the exchange.
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(PooledLink {
+            sender,
+            life,
+            is_reused: false,
+            address,
+        })
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<PooledLink> {
+        let now = Instant::now();
+        let mut idle = lock(&self.idle);
+        let links = idle.get_mut(&address)?;
+        while let Some(link) = links.pop() {
+            let is_fresh = now.duration_since(link.since) < IDLE_TIME;
+            if is_fresh && link.sender.is_ready() {
+                return Some(PooledLink {
+                    sender: link.sender,
+                    life: link.life,
+                    is_reused: true,
+                    address,
+                });
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    /// Gives a connection back after a whole exchange.
+    pub fn give_back(&self, link: PooledLink) {
+        if link.sender.is_closed() {
+            return;
+        }
+        let mut idle = lock(&self.idle);
+        let links = idle.entry(link.address).or_default();
+        if links.len() < IDLE_LIMIT {
+            links.push(IdleLink {
+                sender: link.sender,
+                life: link.life,
+                since: Instant::now(),
+            });
+        }
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        lock(&self.idle).remove(&address);
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        lock(&self.idle).retain(|_, links| {
+            links.retain(|link| {
+                now.duration_since(link.since) < IDLE_TIME && !link.sender.is_closed()
+            });
+            !links.is_empty()
+        });
+    }
+}
+
+fn unreachable(error: std::io::Error) -> LinkError {
+    LinkError::Unreachable(error.to_string())
+}
--- /dev/null
+++ b/wisteriaturnd/src/start.rs
@@ -0,0 +1,195 @@
+//! Starting: a node serves only once its view is current.
+//!
+//! A VM has no disk, so a node starts with nothing. It is not ready until its
+//! view is at least as new as what the log or two ready peers say, and as what
+//! its peers last saw its own address hold: a node that came back with an
+//! older view would break the promise that no proxy ever moves back.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::seq::SliceRandom;
+use wisteriaturn::clock::lock;
+use wisteriaturn::ids::{ConfigVersion, Incarnation, NodeAddress};
+use wisteriaturn::peer::message::{PeerAnswer, PeerRequest};
+
+use crate::follow;
+use crate::gossip;
+use crate::metrics::TrafficKind;
+use crate::node::{NodeHandle, NodeStage};
+use crate::peer_client;
+
+/// Ready peers that together are as good as the log.
+const PEERS_NEEDED: usize = 2;
+
+/// Peers asked in one round.
+const PEERS_ASKED: usize = 4;
+
+/// Pauses between rounds grow between these bounds, with jitter.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(3));
+
+/// What the peers said in one round.
+#[derive(Debug, Default)]
+struct JoinReport {
+    ready_peers: usize,
+    newest: ConfigVersion,
+    newest_peer: Option<NodeAddress>,
+    floor: ConfigVersion,
+    incarnation: Incarnation,
+}
+
+/// Joins the mesh, gets a current view and makes the node ready.
+pub async fn start_task(node: NodeHandle) {
+    let mut backoff = BACKOFF.0;
+    let mut floor = ConfigVersion(0);
+    loop {
+        let report = ask_peers(&node).await;
+        raise_incarnation(&node, report.incarnation);
+        floor = floor.max(report.floor);
+        if let Some(peer) = report.newest_peer
+            && report.newest > lock(&node.store).version()
+        {
+            let _ = peer_client::pull(&node, peer).await;
+        }
+        if is_current(&node, &report, floor).await {
+            break;
+        }
+        let jitter = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(backoff.mul_f64(jitter)).await;
+        backoff = (backoff * 2).min(BACKOFF.1);
+    }
+    node.stage.send_if_modified(|stage| {
+        let is_starting = *stage == NodeStage::Starting;
+        if is_starting {
+            *stage = NodeStage::Ready;
+        }
+        is_starting
+    });
+    node.metrics.ready.set(1);
+    let version = lock(&node.store).version();
+    log::info!(event = "ready", version:% = version; "node");
+    let record = {
+        let mut table = lock(&node.table);
+        table.update_own(node.clock.now(), |own| own.is_ready = true)
+    };
+    node.publish_view();
+    gossip::spread_own(&node, record).await;
+}
+
+async fn ask_peers(node: &NodeHandle) -> JoinReport {
+    let mut report = JoinReport::default();
+    let mut asked = BTreeSet::new();
+    // The first answer names the other members, so seeds go first.
+    for peers in [node.settings.seeds.clone(), known_members(node)] {
+        let mut peers = peers;
+        peers.shuffle(&mut rand::rng());
+        for peer in peers {
+            if asked.len() >= PEERS_ASKED || report.ready_peers >= PEERS_NEEDED {
+                return report;
+            }
+            if peer != node.address() && asked.insert(peer) {
+                ask_peer(node, peer, &mut report).await;
+            }
+        }
+    }
+    report
+}
+
+fn known_members(node: &NodeHandle) -> Vec<NodeAddress> {
+    lock(&node.table)
+        .iter()
+        .filter(|entry| entry.record.is_live())
+        .map(|entry| entry.record.address)
+        .collect()
+}
+
+async fn ask_peer(node: &NodeHandle, peer: NodeAddress, report: &mut JoinReport) {
+    let record = lock(&node.table).own().clone();
+    let request = PeerRequest::Join { record };
+    let answer = peer_client::request(node, peer, &request, TrafficKind::Transfer).await;
+    let Ok(PeerAnswer::Joined {
+        records,
+        status,
+        is_ready,
+        seen_version,
+        seen_incarnation,
+    }) = answer
+    else {
+        return;
+    };
+    report.floor = report.floor.max(seen_version);
+    report.incarnation = report.incarnation.max(seen_incarnation);
+    if is_ready {
+        report.ready_peers += 1;
+    }
+    if status.version > report.newest {
+        report.newest = status.version;
+        report.newest_peer = Some(peer);
+    }
+    peer_client::merge_records(node, records);
+}
+
+/// Peers may remember an earlier life with a clock that was ahead.
+fn raise_incarnation(node: &NodeHandle, seen: Incarnation) {
+    let mut table = lock(&node.table);
+    if table.own().incarnation < seen {
+        table.update_own(node.clock.now(), |own| {
+            own.incarnation = Incarnation(seen.0 + 1);
+        });
+    }
+}
+
+async fn is_current(node: &NodeHandle, report: &JoinReport, floor: ConfigVersion) -> bool {
+    let held = lock(&node.store).version();
+    if report.ready_peers >= PEERS_NEEDED {
+        return held >= report.newest && held >= floor;
+    }
+    // In a herd of restarts nobody is ready: relays ask the log, the others
+    // wait a little for a relay before they ask it too.
+    let others = lock(&node.table).len() > 1;
+    if others && !node.is_relay() && rand::rng().random_bool(0.8) {
+        return false;
+    }
+    match follow::read_to_end(node).await {
+        Ok(end) => {
+            let held = lock(&node.store).version();
+            held >= end && held >= floor
+        }
+        Err(error) => {
+            log::warn!(event = "not-ready", error:% = error; "node");
+            false
+        }
+    }
+}
+
+/// Waits until the node is ready.
+pub async fn wait_ready(node: &NodeHandle) {
+    let mut stage = node.stage.subscribe();
+    // The sender lives in the node, so this cannot fail while it is held.
+    let _ = stage.wait_for(|stage| *stage >= NodeStage::Ready).await;
+}
+
+/// Keeps trying the seeds while this node knows nobody else, so that two
+/// halves which started apart find each other.
+pub async fn reseed_task(node: NodeHandle) {
+    const INTERVAL: Duration = Duration::from_secs(5);
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let unknown: Vec<NodeAddress> = {
+            let table = lock(&node.table);
+            let is_unknown =
+                |seed: &NodeAddress| table.get(*seed).is_none_or(|entry| !entry.record.is_live());
+            node.settings
+                .seeds
+                .iter()
+                .copied()
+                .filter(is_unknown)
+                .collect()
+        };
+        for seed in unknown {
+            let mut report = JoinReport::default();
+            ask_peer(&node, seed, &mut report).await;
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaturnd/src/store.rs
@@ -0,0 +1,110 @@
+//! The configuration that a node has folded, and how it is put in force.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use wisteriaturn::config::fold::{ConfigState, FoldVerdict};
+use wisteriaturn::config::snapshot::encode_snapshot;
+use wisteriaturn::config::tail::RecordTail;
+use wisteriaturn::config::view::ConfigView;
+use wisteriaturn::error::CodecError;
+use wisteriaturn::ids::ConfigVersion;
+use wisteriaturn::invariant::{Rule, check};
+
+/// What folding a record did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreStep {
+    /// The record was the next one.
+    Folded(FoldVerdict),
+    /// The record was folded before.
+    Known,
+    /// Records before this one are missing.
+    Gap,
+}
+
+/// The folded state, the newest records and the view built from them.
+#[derive(Debug, Default)]
+pub struct ConfigStore {
+    state: ConfigState,
+    tail: RecordTail,
+    view: Arc<ConfigView>,
+}
+
+impl ConfigStore {
+    /// Returns the empty configuration.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the folded state.
+    pub fn state(&self) -> &ConfigState {
+        &self.state
+    }
+
+    /// Returns the view of the folded state.
+    pub fn view(&self) -> Arc<ConfigView> {
+        Arc::clone(&self.view)
+    }
+
+    /// Returns the version folded.
+    pub fn version(&self) -> ConfigVersion {
+        self.state.version()
+    }
+
+    /// Folds the record that leads to `version`.
+    pub fn fold(&mut self, version: ConfigVersion, record: &Bytes) -> StoreStep {
+        let held = self.state.version();
+        if version <= held {
+            return StoreStep::Known;
+        }
+        if version.0 > held.0 + 1 {
+            return StoreStep::Gap;
+        }
+        let verdict = self.state.fold(record);
+        self.tail.push(record.clone());
+        check(Rule::VersionRises, self.state.version() > held);
+        self.rebuild(verdict == FoldVerdict::Accepted);
+        StoreStep::Folded(verdict)
+    }
+
+    /// Takes a snapshot if it is newer than what is held.
+    pub fn adopt(&mut self, state: ConfigState) -> bool {
+        if state.version() <= self.state.version() {
+            return false;
+        }
+        self.tail = RecordTail::starting_at(state.version());
+        self.state = state;
+        self.rebuild(true);
+        true
+    }
+
+    /// Returns the records after a version, or nothing when a snapshot is needed.
+    pub fn records_after(&self, version: ConfigVersion, limit: usize) -> Option<Vec<Bytes>> {
+        self.tail.after(version, limit)
+    }
+
+    /// Encodes the state as a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// [`CodecError`] when a resource cannot be encoded.
+    pub fn snapshot(&self) -> Result<Bytes, CodecError> {
+        encode_snapshot(&self.state)
+    }
+
+    /// Builds the view anew. A rejected record changes only the version, so
+    /// the routes and services are shared with the view before.
+    fn rebuild(&mut self, has_changed: bool) {
+        let view = if has_changed {
+            ConfigView::try_from(&self.state)
+        } else {
+            Ok(self.view.at(self.state.version(), self.state.chain()))
+        };
+        match view {
+            Ok(view) => self.view = Arc::new(view),
+            // The fold validated the same set, so this is a broken invariant,
+            // which `try_from` counted; the view in force stays.
+            Err(error) => log::error!(event = "view-refused", error:% = error; "config"),
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaturnd/src/targets.rs
@@ -0,0 +1,280 @@
+//! The targets beside this node: announced, kept alive and left.
+//!
+//! There is no list of targets. A target announces itself to the node on its
+//! own VM, again and again; when it stops, the node withdraws it. The node
+//! vouches for it towards the others through its own member record.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde::Deserialize;
+use wisteriaturn::clock::lock;
+use wisteriaturn::gate::slots::SlotGate;
+use wisteriaturn::ids::{ServiceName, SlotCount};
+use wisteriaturn::member::record::{TARGET_LIMIT, TargetRecord, TargetState};
+
+use crate::gossip;
+use crate::node::{NodeHandle, NodeStage, NodeState};
+
+/// What a target says when it announces itself.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetAnnouncement {
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Address on which it takes HTTP.
+    pub address: SocketAddr,
+    /// Calls that it runs at once.
+    pub slots: SlotCount,
+    /// Whether it leaves.
+    #[serde(default)]
+    pub draining: bool,
+}
+
+/// Why an announcement was refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum AnnounceError {
+    /// The configuration in force has no such service.
+    NoService(ServiceName),
+    /// The service does not permit the address.
+    NotPermitted(SocketAddr),
+    /// The number of slots is out of range.
+    Slots {
+        /// Slots announced.
+        announced: SlotCount,
+        /// Most that the service allows.
+        allowed: SlotCount,
+    },
+    /// The node vouches for as many targets as it may.
+    Full,
+}
+
+impl std::fmt::Display for AnnounceError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            AnnounceError::NoService(service) => write!(f, "service/{service} does not exist"),
+            AnnounceError::NotPermitted(address) => {
+                write!(f, "the service does not permit a target at {address}")
+            }
+            AnnounceError::Slots { announced, allowed } => {
+                write!(
+                    f,
+                    "slots = {announced} is not allowed; allowed: 1 to {allowed}"
+                )
+            }
+            AnnounceError::Full => write!(f, "a node vouches for at most {TARGET_LIMIT} targets"),
+        }
+    }
+}
+
+impl std::error::Error for AnnounceError {}
+
+/// A target beside this node.
+#[derive(Debug)]
+pub struct LocalTarget {
+    /// Address on which it takes HTTP.
+    pub address: SocketAddr,
+    /// Its slots.
+    pub gate: SlotGate,
+    slots: Mutex<SlotCount>,
+    is_draining: Mutex<bool>,
+    expires: Mutex<Instant>,
+}
+
+/// The targets beside this node by service.
+#[derive(Debug, Default)]
+pub struct LocalTargets {
+    targets: Mutex<BTreeMap<ServiceName, Arc<LocalTarget>>>,
+}
+
+impl LocalTargets {
+    /// Returns no targets.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the target of a service.
+    pub fn get(&self, service: &ServiceName) -> Option<Arc<LocalTarget>> {
+        lock(&self.targets).get(service).cloned()
+    }
+
+    /// Returns all targets.
+    pub fn all(&self) -> Vec<(ServiceName, Arc<LocalTarget>)> {
+        lock(&self.targets)
+            .iter()
+            .map(|(service, target)| (service.clone(), Arc::clone(target)))
+            .collect()
+    }
+
+    /// Returns the number of calls that run or wait at this node's gates.
+    pub fn in_flight(&self) -> usize {
+        self.all()
+            .iter()
+            .map(|(_, target)| {
+                let load = target.gate.load();
+                load.busy + load.waiting
+            })
+            .sum()
+    }
+
+    fn records(&self, is_leaving: bool) -> Vec<TargetRecord> {
+        self.all()
+            .into_iter()
+            .map(|(service, target)| TargetRecord {
+                service,
+                address: target.address,
+                slots: *lock(&target.slots),
+                state: if is_leaving || *lock(&target.is_draining) {
+                    TargetState::Draining
+                } else {
+                    TargetState::Serving
+                },
+            })
+            .collect()
+    }
+}
+
+/// Takes an announcement of a target on this VM.
+///
+/// # Errors
+///
+/// [`AnnounceError`] says what is not allowed.
+pub async fn announce(
+    node: &NodeHandle,
+    announcement: &TargetAnnouncement,
+) -> Result<(), AnnounceError> {
+    check_announcement(node, announcement)?;
+    let now = node.clock.now();
+    let expires = now + node.settings.tuning.announce_ttl;
+    let target = enter_target(node, announcement, expires)?;
+    *lock(&target.expires) = expires;
+    *lock(&target.slots) = announcement.slots;
+    target.gate.set_slots(announcement.slots.0);
+    set_draining(&target, announcement.draining);
+    publish(node).await;
+    Ok(())
+}
+
+fn check_announcement(
+    node: &NodeState,
+    announcement: &TargetAnnouncement,
+) -> Result<(), AnnounceError> {
+    let view = node.view.load();
+    let Some(service) = view.config.services.get(&announcement.service) else {
+        return Err(AnnounceError::NoService(announcement.service.clone()));
+    };
+    let address = announcement.address;
+    let permit = &service.spec.permit;
+    if !permit.iter().any(|range| range.contains(address.ip())) {
+        return Err(AnnounceError::NotPermitted(address));
+    }
+    let allowed = service.spec.max_slots;
+    if !(SlotCount(1)..=allowed).contains(&announcement.slots) {
+        return Err(AnnounceError::Slots {
+            announced: announcement.slots,
+            allowed,
+        });
+    }
+    Ok(())
+}
+
+fn enter_target(
+    node: &NodeState,
+    announcement: &TargetAnnouncement,
+    expires: Instant,
+) -> Result<Arc<LocalTarget>, AnnounceError> {
+    let mut targets = lock(&node.targets.targets);
+    if let Some(held) = targets.get(&announcement.service)
+        && held.address == announcement.address
+    {
+        return Ok(Arc::clone(held));
+    }
+    if targets.len() >= TARGET_LIMIT && !targets.contains_key(&announcement.service) {
+        return Err(AnnounceError::Full);
+    }
+    let target = Arc::new(LocalTarget {
+        address: announcement.address,
+        gate: SlotGate::new(announcement.slots.0, Arc::clone(&node.clock)),
+        slots: Mutex::new(announcement.slots),
+        is_draining: Mutex::new(false),
+        expires: Mutex::new(expires),
+    });
+    targets.insert(announcement.service.clone(), Arc::clone(&target));
+    Ok(target)
+}
+
+fn set_draining(target: &LocalTarget, is_draining: bool) {
+    let mut held = lock(&target.is_draining);
+    if *held == is_draining {
+        return;
+    }
+    *held = is_draining;
+    if is_draining {
+        target.gate.drain();
+    } else {
+        target.gate.resume();
+    }
+}
+
+/// Withdraws a target.
+pub async fn withdraw(node: &NodeHandle, service: &ServiceName) -> bool {
+    let removed = lock(&node.targets.targets).remove(service);
+    let Some(target) = removed else {
+        return false;
+    };
+    target.gate.drain();
+    log::info!(event = "target-withdrawn", service:% = service, address:% = target.address; "place");
+    publish(node).await;
+    true
+}
+
+/// Makes every gate refuse new calls and tells the others.
+pub async fn drain_all(node: &NodeHandle) {
+    for (_, target) in node.targets.all() {
+        target.gate.drain();
+    }
+    publish(node).await;
+}
+
+/// Puts the targets into this node's member record when they changed, and
+/// spreads it as urgent news.
+pub async fn publish(node: &NodeHandle) {
+    let is_leaving = node.current_stage() >= NodeStage::Draining;
+    let targets = node.targets.records(is_leaving);
+    let record = {
+        let mut table = lock(&node.table);
+        if table.own_targets() == targets {
+            return;
+        }
+        table.update_own(node.clock.now(), |own| own.targets = targets)
+    };
+    for target in &record.targets {
+        log::info!(
+            event = "target-placed",
+            service:% = target.service,
+            address:% = target.address,
+            slots:% = target.slots,
+            state:? = target.state;
+            "place"
+        );
+    }
+    node.publish_view();
+    gossip::spread_own(node, record).await;
+}
+
+/// Withdraws targets whose announcement was not renewed.
+pub async fn expire_task(node: NodeHandle) {
+    let step = (node.settings.tuning.announce_ttl / 4).max(Duration::from_millis(50));
+    loop {
+        tokio::time::sleep(step).await;
+        let now = node.clock.now();
+        for (service, target) in node.targets.all() {
+            if *lock(&target.expires) <= now {
+                withdraw(&node, &service).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaturnd/src/trial.rs
@@ -0,0 +1,144 @@
+//! A first look: one node with a log in memory, a target beside it, and one
+//! request that goes through both.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Result, eyre};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use wisteriaturn::clock::SystemClock;
+
+use crate::body::{NodeBody, full};
+use crate::exchange::{self, ExchangeError};
+use crate::lifecycle::RunningNode;
+use crate::log_memory::memory_log;
+use crate::pool::LinkPool;
+use crate::settings::NodeSettings;
+use crate::start;
+
+/// Settings of the trial node.
+pub const TRIAL_SETTINGS: &str = r#"
+region = "trial"
+data_centre = "trial-1"
+mesh_secrets = ["a secret for the trial only"]
+
+[listen]
+ingress = "127.0.0.1:7080"
+admin = "127.0.0.1:7081"
+hop = "127.0.0.1:7082"
+peer = "127.0.0.1:7083"
+
+[log]
+address = "127.0.0.1:7084"
+"#;
+
+const TRIAL_CHANGE: &str = r#"{
+  "author": "trial",
+  "operations": [
+    {"put": {"kind": "service", "name": "hello", "permit": ["127.0.0.0/8"]}},
+    {"put": {"kind": "route", "name": "hello", "path": "/", "services": [{"service": "hello"}]}}
+  ]
+}"#;
+
+/// How often the trial's target announces itself.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Runs the trial until `stop` ends.
+///
+/// # Errors
+///
+/// What kept the trial's request from being answered.
+pub async fn run<S>(settings: NodeSettings, stop: S) -> Result<()>
+where
+    S: Future<Output = ()>,
+{
+    let (ingress, admin) = (settings.ingress, settings.admin);
+    let running = RunningNode::start(settings, Arc::new(SystemClock), memory_log()).await?;
+    start::wait_ready(&running.node).await;
+    let pool = LinkPool::to_targets();
+    ask(&pool, admin, Method::POST, "/v1/changes", TRIAL_CHANGE).await?;
+    let target = serve_target().await?;
+    tokio::spawn(announce_task(pool.clone(), admin, target));
+    let answer = loop {
+        match ask(&pool, ingress, Method::GET, "/", "").await {
+            Ok(answer) => break answer,
+            // The announcement may take a moment longer than the change.
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    };
+    println!(
+        "trial: GET http://{ingress}/ was answered: {}",
+        answer.trim_end()
+    );
+    println!("trial: the resource API listens on http://{admin}; end with Ctrl-C");
+    stop.await;
+    running.stop().await;
+    Ok(())
+}
+
+async fn announce_task(pool: LinkPool, admin: SocketAddr, target: SocketAddr) {
+    let announcement = format!(r#"{{"service":"hello","address":"{target}","slots":6}}"#);
+    loop {
+        let _ = ask(&pool, admin, Method::POST, "/v1/targets", &announcement).await;
+        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
+
+async fn serve_target() -> Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(hello);
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(served);
+        }
+    });
+    Ok(address)
+}
+
+async fn hello(request: Request<Incoming>) -> Result<Response<NodeBody>, Infallible> {
+    let text = format!(
+        "hello from the target: {} {}\n",
+        request.method(),
+        request.uri()
+    );
+    Ok(Response::new(full(Bytes::from(text))))
+}
+
+async fn ask(
+    pool: &LinkPool,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: &str,
+) -> Result<String> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(hyper::header::HOST, address.to_string())
+        .body(full(Bytes::copy_from_slice(body.as_bytes())))?;
+    let mut link = pool.take(address).await?;
+    let response = match exchange::send(&mut link, request).await {
+        Ok(response) => response,
+        Err(ExchangeError::Unsent(_)) => return Err(eyre!("connection closed")),
+        Err(ExchangeError::Lost(error)) => return Err(error.into()),
+    };
+    let status = response.status();
+    let body = response.into_body().collect().await?.to_bytes();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    if status.is_success() {
+        Ok(text)
+    } else {
+        Err(eyre!("{status}: {text}"))
+    }
+}
