gate: make one fingerprint of a request whatever node it entered by

Cause: the fingerprint took in the Host header, and callers that connect to nodes by address send another one to each node; one request that crashes its targets was four requests to four nodes and took four targets down.

Ruled out: lost news of the losses (the log lines show both losses spread and the first node refusing 6 ms later); a race of the crash check with the closing of the target's listener (every loss was seen as one).

Before: with the call sent through each of four nodes, 4 of 4 targets lost. The service's name took the host's place.

Conclusion: quarantine holds for the whole mesh. Process tests for races of operators, outages of the log, herd restarts, claims, frozen gates, planned stops, overload, chains and large bodies come with this change.

--- a/testing/src/cluster.rs
+++ b/testing/src/cluster.rs
@@ -235,6 +235,11 @@
         self.nodes[index].as_mut().expect("the node was started")
     }
 
+    /// Returns the process id of a node.
+    pub fn node_id(&self, index: usize) -> u32 {
+        self.nodes[index].as_ref().map_or(0, OwnedProcess::id)
+    }
+
     /// Returns the process of a target.
     pub fn target_process(&mut self, index: usize) -> &mut OwnedProcess {
         self.targets[index]
--- /dev/null
+++ b/tests/integration/process_config.rs
@@ -0,0 +1,212 @@
+//! Configuration under failure: bad batches, races, outages of the log,
+//! restarts with and without it.
+
+use eyre::Result;
+use serde_json::{Value, json};
+use wisteriaturn_testing::client;
+use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
+
+fn service(name: &str) -> Value {
+    json!({ "put": { "kind": "service", "name": name, "permit": ["127.0.0.0/8"] } })
+}
+
+fn route(name: &str, service: &str) -> Value {
+    json!({ "put": { "kind": "route", "name": name, "path": format!("/{name}"),
+        "services": [{ "service": service }] } })
+}
+
+async fn resources(cluster: &TestCluster, index: usize) -> Value {
+    let reply = client::get(cluster.admin(index), "/v1/resources").await;
+    reply.map(|reply| reply.json()).unwrap_or_default()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_batch_changes_nothing_on_any_node() -> Result<()> {
+    let cluster = TestCluster::start(ClusterPlan::default()).await?;
+    cluster.add_service("portal", json!({})).await?;
+    let before = resources(&cluster, 0).await["resources"].clone();
+
+    let batch = json!([service("extra"), route("stray", "nowhere")]);
+    let reply = cluster.apply(1, batch).await?;
+
+    assert_eq!(reply.status, 422, "{}", reply.text());
+    assert!(reply.text().contains("nowhere"), "{}", reply.text());
+    let version = reply.json()["version"].as_u64().unwrap_or_default();
+    cluster.wait_version(version).await?;
+    for index in 0..3 {
+        assert_eq!(resources(&cluster, index).await["resources"], before);
+    }
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_racing_operators_one_wins_everywhere() -> Result<()> {
+    let cluster = TestCluster::start(ClusterPlan::default()).await?;
+    cluster.add_service("portal", json!({})).await?;
+    let held = client::get(cluster.admin(0), "/v1/services/portal").await?;
+    let revision = held.json()["revision"].as_u64().unwrap_or_default();
+    assert_eq!(held.header("etag"), format!("\"{revision}\""));
+
+    let mut writers = Vec::new();
+    for index in 0..3 {
+        let body = json!({ "operations": [{ "expect": revision, "put": { "kind": "service",
+            "name": "portal", "permit": ["127.0.0.0/8"], "max_slots": 10 + index } }] });
+        let admin = cluster.admin(index);
+        writers.push(tokio::spawn(async move {
+            client::post(admin, "/v1/changes", &body.to_string()).await
+        }));
+    }
+    let mut statuses = Vec::new();
+    let mut last = 0;
+    for writer in writers {
+        let reply = writer.await??;
+        statuses.push(reply.status);
+        last = last.max(reply.json()["version"].as_u64().unwrap_or_default());
+        if reply.status == 409 {
+            assert!(
+                reply
+                    .text()
+                    .contains(&format!("expected revision {revision}"))
+            );
+        }
+    }
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 409, 409]);
+    cluster.wait_version(last).await?;
+    let first = resources(&cluster, 0).await;
+    assert_eq!(resources(&cluster, 1).await, first);
+    assert_eq!(resources(&cluster, 2).await, first);
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_or_late_append_is_settled_by_reading() -> Result<()> {
+    let cluster = TestCluster::start(ClusterPlan::default()).await?;
+    cluster.set_log(r#"{"lose_answers":1}"#).await?;
+    let reply = cluster.apply(0, json!([service("lost")])).await?;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    cluster
+        .set_log(r#"{"late_appends":1,"late_ms":700}"#)
+        .await?;
+    let reply = cluster.apply(1, json!([service("late")])).await?;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    let version = reply.json()["version"].as_u64().unwrap_or_default();
+    assert_eq!(version, 2);
+    cluster.wait_version(version).await?;
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_log_stops_only_changes() -> Result<()> {
+    let mut cluster = TestCluster::start(ClusterPlan::default()).await?;
+    cluster.add_service("portal", json!({})).await?;
+    cluster.start_target(0, "portal", 6)?;
+    cluster.wait_targets(2, "portal", 1).await?;
+    cluster.set_log(r#"{"outage":true}"#).await?;
+
+    let reply = cluster.apply(0, json!([service("later")])).await?;
+    assert_eq!(reply.status, 504, "{}", reply.text());
+    let id = reply.json()["change_id"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    let call = client::get(cluster.ingress(2), "/portal/x").await?;
+    assert_eq!((call.status, call.outcome()), (200, "done"));
+    // A node that starts now gets its view from two ready peers.
+    cluster.kill_node(1);
+    cluster.start_node(1)?;
+    cluster.wait_node_ready(1).await?;
+    assert_eq!(cluster.status(1).await["version"], json!(1));
+
+    // The same change id may be sent again: it is folded once at most.
+    cluster.set_log("{}").await?;
+    let body = json!({ "change_id": id, "operations": [service("later")] }).to_string();
+    let again = client::post(cluster.admin(0), "/v1/changes", &body).await?;
+    assert_eq!(again.status, 200, "{}", again.text());
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_herd_restart_waits_for_the_log_and_forgets_nothing() -> Result<()> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes: 4,
+        places: 2,
+        tuning: "snapshot_every = 3".to_owned(),
+        ..ClusterPlan::default()
+    })
+    .await?;
+    for number in 0..6 {
+        cluster
+            .add_service(&format!("service-{number}"), json!({}))
+            .await?;
+    }
+    let snapshots = "/streams/snapshots/records?from=0&limit=100";
+    cluster
+        .wait("a snapshot in the log", async || {
+            let reply = client::get(cluster.log_address(), snapshots).await;
+            reply.is_ok_and(|reply| reply.json()["next"].as_u64() >= Some(1))
+        })
+        .await?;
+    let before = resources(&cluster, 0).await;
+    // What the snapshot holds is no longer kept.
+    cluster
+        .set_log(r#"{"outage":true,"trim":{"config":3}}"#)
+        .await?;
+    for index in 0..4 {
+        cluster.kill_node(index);
+        cluster.start_node(index)?;
+    }
+    for index in 0..4 {
+        cluster
+            .wait("a node that says it is not ready", async || {
+                let ready = client::get(cluster.admin(index), "/ready").await;
+                ready.is_ok_and(|reply| reply.status == 503)
+            })
+            .await?;
+        let call = client::get(cluster.ingress(index), "/service-1").await?;
+        assert_eq!((call.status, call.outcome()), (503, "not-run"));
+        assert_eq!(call.header("wisteriaturn-reason"), "not-ready");
+    }
+    cluster.set_log("{}").await?;
+    cluster.wait_ready().await?;
+    for index in 0..4 {
+        assert_eq!(resources(&cluster, index).await, before);
+    }
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_was_frozen_or_killed_catches_up_and_never_goes_back() -> Result<()> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes: 5,
+        places: 2,
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster.node(4).signal("STOP");
+    cluster.kill_node(3);
+    let mut version = 0;
+    for number in 0..5 {
+        let name = format!("service-{number}");
+        version = cluster.apply_accepted(0, json!([service(&name)])).await?;
+    }
+    cluster.node(4).signal("CONT");
+    cluster.start_node(3)?;
+    cluster.wait_version(version).await?;
+    cluster.wait_ready().await?;
+    assert!(!cluster.has_crashed());
+    let path = format!("/v1/convergence?version={version}");
+    cluster
+        .wait("all nodes to be counted as holders", async || {
+            let reply = client::get(cluster.admin(0), &path).await;
+            reply.is_ok_and(|reply| reply.json()["holders"] == json!(5))
+        })
+        .await?;
+    cluster.remove_folder();
+    Ok(())
+}
--- /dev/null
+++ b/tests/integration/process_once.rs
@@ -0,0 +1,201 @@
+//! Calls that must run at most once, and `not-run` that must be true.
+
+use std::net::SocketAddr;
+
+use eyre::Result;
+use serde_json::json;
+use wisteriaturn_testing::client::{self, HttpReply};
+use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
+
+async fn book(ingress: SocketAddr, id: &str, more: &[(&str, &str)]) -> Result<HttpReply> {
+    let mut headers = vec![("idempotency-key", id), ("x-run", id)];
+    headers.extend_from_slice(more);
+    client::send(ingress, "POST", "/dispatch/jobs", &headers, b"{}").await
+}
+
+async fn dispatch_cluster(nodes: usize, targets: usize) -> Result<TestCluster> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes,
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster
+        .add_service("dispatch", json!({ "deadline_ms": 4000 }))
+        .await?;
+    for index in 0..targets {
+        cluster.start_target(index, "dispatch", 6)?;
+    }
+    for index in 0..nodes {
+        cluster.wait_targets(index, "dispatch", targets).await?;
+    }
+    Ok(cluster)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_sent_again_through_any_node_runs_once() -> Result<()> {
+    let cluster = dispatch_cluster(4, 3).await?;
+    let mut calls = Vec::new();
+    for copy in 0..12 {
+        let ingress = cluster.ingress(copy % 4);
+        calls.push(tokio::spawn(async move {
+            book(ingress, "job-1", &[("x-sleep-ms", "100")]).await
+        }));
+    }
+    let mut bodies = std::collections::HashSet::new();
+    for call in calls {
+        let reply = call.await??;
+        assert_eq!(
+            (reply.status, reply.outcome()),
+            (200, "done"),
+            "{}",
+            reply.text()
+        );
+        bodies.insert(reply.text());
+    }
+    assert_eq!(bodies.len(), 1, "all callers get the one run's answer");
+    assert_eq!(cluster.runs()["job-1"], 1);
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_outlives_the_node_that_ran_it() -> Result<()> {
+    let mut cluster = dispatch_cluster(4, 3).await?;
+    let first = book(cluster.ingress(3), "job-2", &[]).await?;
+    assert_eq!(first.outcome(), "done");
+    let runner = (0..3)
+        .find(|index| first.text().contains(&cluster.target(*index).to_string()))
+        .expect("one of the targets answered");
+    cluster.kill_node(runner);
+    cluster.start_node(runner)?;
+    cluster.wait_node_ready(runner).await?;
+
+    let again = book(cluster.ingress(3), "job-2", &[]).await?;
+
+    assert_eq!(again.outcome(), "unknown", "{}", again.text());
+    assert_eq!(cluster.runs()["job-2"], 1);
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn claims_wait_for_the_log_and_are_then_refused() -> Result<()> {
+    let cluster = dispatch_cluster(3, 2).await?;
+    book(cluster.ingress(2), "job-3", &[]).await?;
+    cluster.set_log(r#"{"outage":true}"#).await?;
+
+    let refused = book(cluster.ingress(2), "job-4", &[]).await?;
+    assert_eq!(
+        (refused.status, refused.outcome()),
+        (503, "not-run"),
+        "{}",
+        refused.text()
+    );
+    assert_eq!(refused.header("retry-after"), "1");
+    assert!(!cluster.runs().contains_key("job-4"));
+    // A call without a key needs no log.
+    let plain = client::send(cluster.ingress(2), "POST", "/dispatch", &[], b"").await?;
+    assert_eq!(plain.outcome(), "done");
+
+    cluster.set_log("{}").await?;
+    cluster
+        .wait("the refused key to be free again", async || {
+            let reply = book(cluster.ingress(2), "job-4", &[]).await;
+            reply.is_ok_and(|reply| reply.outcome() == "done")
+        })
+        .await?;
+    assert_eq!(cluster.runs()["job-4"], 1);
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_and_late_claim_answers_run_nothing_twice() -> Result<()> {
+    let cluster = dispatch_cluster(3, 2).await?;
+    for number in 0..10 {
+        let behaviour = match number % 3 {
+            0 => r#"{"lose_answers":1}"#,
+            1 => r#"{"late_appends":1,"late_ms":300}"#,
+            _ => r#"{"delay_ms":50}"#,
+        };
+        cluster.set_log(behaviour).await?;
+        let id = format!("job-5-{number}");
+        for copy in 0..3 {
+            let reply = book(cluster.ingress(copy), &id, &[]).await?;
+            assert_eq!(reply.outcome(), "done", "{}", reply.text());
+        }
+        assert_eq!(cluster.runs()[&id], 1);
+    }
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gate_that_was_frozen_runs_nothing_that_was_revoked() -> Result<()> {
+    let mut cluster = dispatch_cluster(3, 1).await?;
+    // Opens the connection between the nodes, so that the next call is written
+    // into it while the gate is frozen.
+    let headers = [("x-run", "warm")];
+    client::send(cluster.ingress(1), "POST", "/dispatch", &headers, b"").await?;
+    cluster.node(0).signal("STOP");
+    let headers = [("x-run", "job-6"), ("wisteriaturn-deadline-ms", "500")];
+    let reply = client::send(cluster.ingress(1), "POST", "/dispatch", &headers, b"").await?;
+    let outcome = reply.outcome().to_owned();
+    assert_ne!(outcome, "done");
+    cluster.node(0).signal("CONT");
+    cluster.wait_targets(1, "dispatch", 1).await?;
+    cluster
+        .wait("a call after the freeze", async || {
+            let headers = [("x-run", "after")];
+            let reply = client::send(cluster.ingress(1), "POST", "/dispatch", &headers, b"").await;
+            reply.is_ok_and(|reply| reply.outcome() == "done")
+        })
+        .await?;
+    let runs = cluster.runs().get("job-6").copied().unwrap_or_default();
+    assert!(runs <= 1);
+    if outcome == "not-run" {
+        assert_eq!(runs, 0);
+    }
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_targets_is_stopped_after_two() -> Result<()> {
+    let mut cluster = dispatch_cluster(4, 4).await?;
+    let page = [("x-run", "page")];
+    let mut lost = 0;
+    loop {
+        // A page that many read must not be held for the culprit.
+        let good = client::send(cluster.ingress(3), "GET", "/dispatch/page", &page, b"").await?;
+        assert_eq!(good.outcome(), "done", "{}", good.text());
+        let bad = [("x-crash", "1"), ("x-run", "bad")];
+        let reply = client::send(cluster.ingress(3), "GET", "/dispatch/bad", &bad, b"").await?;
+        assert_ne!(reply.outcome(), "done");
+        if reply.header("wisteriaturn-reason") == "quarantined" {
+            assert_eq!(reply.outcome(), "not-run");
+            break;
+        }
+        lost += 1;
+    }
+    assert_eq!(
+        lost, 2,
+        "two targets are lost, then the request is quarantined"
+    );
+    assert_eq!(cluster.runs()["bad"], 2);
+    for index in 0..4 {
+        let bad = [("x-crash", "1"), ("x-run", "bad")];
+        cluster
+            .wait("every node to refuse the request", async || {
+                let reply =
+                    client::send(cluster.ingress(index), "GET", "/dispatch/bad", &bad, b"").await;
+                reply.is_ok_and(|reply| reply.outcome() == "not-run")
+            })
+            .await?;
+    }
+    let good = client::send(cluster.ingress(0), "GET", "/dispatch/page", &page, b"").await?;
+    assert_eq!(good.outcome(), "done", "{}", good.text());
+    assert!(!cluster.has_crashed());
+    cluster.remove_folder();
+    Ok(())
+}
--- /dev/null
+++ b/tests/integration/process_stop.rs
@@ -0,0 +1,236 @@
+//! Planned stops, drains, overload and chains of calls.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use eyre::Result;
+use serde_json::json;
+use wisteriaturn_testing::client;
+use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
+use wisteriaturn_testing::metrics;
+
+async fn portal_cluster(nodes: usize, targets: usize, slots: u16) -> Result<TestCluster> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes,
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster.add_service("portal", json!({})).await?;
+    for index in 0..targets {
+        cluster.start_target(index, "portal", slots)?;
+    }
+    for index in 0..nodes {
+        cluster.wait_targets(index, "portal", targets).await?;
+    }
+    Ok(cluster)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_call() -> Result<()> {
+    let mut cluster = portal_cluster(4, 3, 6).await?;
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    for caller in 0..6 {
+        let (ingress, is_over) = (cluster.ingress(3), Arc::clone(&is_over));
+        let method = if caller % 2 == 0 { "GET" } else { "POST" };
+        callers.push(tokio::spawn(async move {
+            let mut outcomes = Vec::new();
+            while !is_over.load(Ordering::Relaxed) {
+                let headers = [("x-sleep-ms", "30")];
+                let reply = client::send(ingress, method, "/portal", &headers, b"").await?;
+                outcomes.push(format!(
+                    "{} {}",
+                    reply.outcome(),
+                    reply.header("wisteriaturn-reason")
+                ));
+            }
+            Ok::<_, eyre::Report>(outcomes)
+        }));
+    }
+    // One node stops, then one target leaves by itself.
+    cluster.node(0).signal("TERM");
+    assert_eq!(cluster.node(0).wait().await?, 0);
+    cluster.kill_node(0);
+    cluster.target_process(1).signal("TERM");
+    assert_eq!(cluster.target_process(1).wait().await?, 0);
+    cluster.wait_targets(3, "portal", 1).await?;
+    is_over.store(true, Ordering::Relaxed);
+    for caller in callers {
+        let outcomes = caller.await??;
+        assert!(
+            outcomes.iter().all(|outcome| outcome == "done "),
+            "{outcomes:?}"
+        );
+    }
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_call_outlives_the_stop_of_its_gate_and_its_ingress() -> Result<()> {
+    let mut cluster = portal_cluster(2, 1, 6).await?;
+    let mut calls = Vec::new();
+    for index in 0..2 {
+        let ingress = cluster.ingress(index);
+        calls.push(tokio::spawn(async move {
+            let headers = [("x-sleep-ms", "1500"), ("x-run", "long")];
+            client::send(ingress, "POST", "/portal", &headers, b"").await
+        }));
+    }
+    cluster
+        .wait("both calls to run", async || {
+            cluster.runs().get("long") == Some(&2)
+        })
+        .await?;
+    cluster.node(0).signal("TERM");
+    cluster.node(1).signal("TERM");
+    for call in calls {
+        assert_eq!(call.await??.outcome(), "done");
+    }
+    assert_eq!(cluster.node(0).wait().await?, 0);
+    assert_eq!(cluster.node(1).wait().await?, 0);
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn overload_is_shed_as_not_run_and_the_slots_stay_busy() -> Result<()> {
+    let cluster = portal_cluster(3, 2, 2).await?;
+    let mut calls = Vec::new();
+    for number in 0..120 {
+        let ingress = cluster.ingress(number % 3);
+        let id = format!("load-{number}");
+        calls.push(tokio::spawn(async move {
+            let headers = [("x-sleep-ms", "50"), ("x-run", &id)];
+            let reply = client::send(ingress, "POST", "/portal", &headers, b"").await?;
+            Ok::<_, eyre::Report>((id.clone(), reply.outcome().to_owned()))
+        }));
+    }
+    let mut told = Vec::new();
+    for call in calls {
+        told.push(call.await??);
+    }
+    let runs = cluster.runs();
+    let done = told.iter().filter(|(_, outcome)| outcome == "done").count();
+    for (id, outcome) in &told {
+        assert_ne!(outcome, "unknown");
+        let expected = usize::from(outcome == "done");
+        assert_eq!(
+            runs.get(id).copied().unwrap_or_default(),
+            expected,
+            "{id} {outcome}"
+        );
+    }
+    // Two targets with two slots and a queue of four for each slot.
+    assert!(done >= 20, "{done} of 120 were served");
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failing_leaf_is_not_hit_more_for_the_depth_of_the_chain() -> Result<()> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes: 4,
+        ..ClusterPlan::default()
+    })
+    .await?;
+    for (index, name) in ["one", "two", "three", "leaf"].iter().enumerate() {
+        cluster.add_service(name, json!({})).await?;
+        cluster.start_target(index, name, 6)?;
+    }
+    for name in ["one", "two", "three", "leaf"] {
+        cluster.wait_targets(0, name, 1).await?;
+        cluster.wait_targets(2, name, 1).await?;
+    }
+    let calls = 20;
+    for _ in 0..calls {
+        let headers = [
+            ("x-next", "two,three,leaf"),
+            ("x-status", "503"),
+            ("x-run", "chain"),
+        ];
+        let reply = client::send(cluster.ingress(0), "GET", "/one", &headers, b"").await?;
+        assert_eq!(reply.status, 503);
+    }
+    // Each call runs once at each of the four depths: an answer of a target is
+    // an answer, whatever its status, and nobody retries it.
+    assert_eq!(cluster.runs()["chain"], calls * 4);
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_leaf_costs_no_more_than_the_retry_budget() -> Result<()> {
+    let mut cluster = portal_cluster(3, 2, 6).await?;
+    cluster.kill_node(0);
+    cluster.kill_node(1);
+    let calls = 60;
+    for _ in 0..calls {
+        let reply = client::get(cluster.ingress(2), "/portal").await?;
+        assert_eq!(reply.outcome(), "not-run", "{}", reply.text());
+    }
+    let text = cluster.metrics(2).await;
+    let retries = metrics::sum(&text, "wisteriaturn_retries_total", "");
+    // Ten that are kept in reserve, one a second, and a tenth of the calls.
+    let most = 10.0 + f64::from(calls) / 10.0 + 60.0;
+    assert!(retries <= most, "{retries} retries of {calls} calls");
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_body_passes_in_bounded_memory() -> Result<()> {
+    let cluster = portal_cluster(2, 1, 6).await?;
+    let size = 100 * 1024 * 1024;
+    let headers = [("x-answer-bytes", "104857600")];
+    let body = vec![b'y'; size];
+    let reply = client::send(cluster.ingress(1), "POST", "/portal", &headers, &body).await?;
+    assert_eq!(reply.outcome(), "done");
+    assert_eq!(reply.body.len(), size);
+    for index in 0..2 {
+        let path = format!("/proc/{}/status", cluster.node_id(index));
+        let peak = std::fs::read_to_string(path)?
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .and_then(|text| text.trim().trim_end_matches(" kB").parse::<u64>().ok())
+            .unwrap_or(u64::MAX);
+        // The bound for a node's control is 128 MB; a body held whole would
+        // take 100 MB of it alone.
+        assert!(peak < 90 * 1024, "node {index} took {peak} kB");
+    }
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_caller_left_does_not_start() -> Result<()> {
+    let cluster = portal_cluster(2, 1, 1).await?;
+    let (busy_ingress, ingress) = (cluster.ingress(1), cluster.ingress(1));
+    let busy = tokio::spawn(async move {
+        let headers = [("x-sleep-ms", "1000"), ("x-run", "busy")];
+        client::send(busy_ingress, "POST", "/portal", &headers, b"").await
+    });
+    cluster
+        .wait("the slot to be taken", async || {
+            cluster.runs().contains_key("busy")
+        })
+        .await?;
+    let gone = tokio::spawn(async move {
+        let headers = [("x-run", "gone")];
+        client::send(ingress, "POST", "/portal", &headers, b"").await
+    });
+    cluster
+        .wait("the second call to wait", async || {
+            cluster.status(0).await["calls_at_gate"] == json!(2)
+        })
+        .await?;
+    gone.abort();
+    let _ = gone.await;
+    assert_eq!(busy.await??.outcome(), "done");
+    // A third call is served after the second would have been.
+    let headers = [("x-run", "third")];
+    client::send(cluster.ingress(1), "POST", "/portal", &headers, b"").await?;
+    assert!(!cluster.runs().contains_key("gone"));
+    cluster.remove_folder();
+    Ok(())
+}
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -18,7 +18,7 @@
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::quarantine::RequestStanding;
 use wisteriaturn::gate::slots::SlotPermit;
-use wisteriaturn::ids::{Fingerprint, KeyHash};
+use wisteriaturn::ids::KeyHash;
 use wisteriaturn::member::rumor::Rumor;
 use wisteriaturn::peer::message::InquiryAnswer;
 
@@ -95,10 +95,10 @@
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_mesh(&mut parts.headers);
     headers::set(&mut parts.headers, headers::OUTCOME, CallOutcome::Done);
-    let (owner, fingerprint) = (node.clone(), call.fingerprint);
+    let (owner, call) = (node.clone(), call.clone());
     let body = pooled_body(body, link, &node.target_pool, move |end| {
         drop(permit);
-        note_end(owner, fingerprint, address, end);
+        note_end(owner, &call, address, end);
     });
     Response::from_parts(parts, body)
 }
@@ -188,17 +188,17 @@
             kept.body = bytes;
             let response = kept_response(&kept);
             ticket.end(CallEnd::Answered(kept));
-            note_end(node.clone(), call.fingerprint, address, BodyEnd::Whole);
+            note_end(node.clone(), &call, address, BodyEnd::Whole);
             response
         }
         Ok(Ok(mut large)) => {
             // Too large to keep: it streams on, and a lost link loses it.
             let rest = large.for_attempt().unwrap_or_else(crate::body::empty);
-            let (owner, fingerprint) = (node.clone(), call.fingerprint);
+            let owner = node.clone();
             let body = GuardedBody::new(rest, move |end| {
                 drop(permit);
                 ticket.end(CallEnd::TooLarge);
-                note_end(owner, fingerprint, address, end);
+                note_end(owner, &call, address, end);
             });
             kept_response(&kept).map(|_| boxed(body))
         }
@@ -324,20 +324,15 @@
     reason: RefusalReason,
 ) -> Response<NodeBody> {
     let mut response = refusal(CallOutcome::Unknown, reason);
-    let is_suspect =
-        reason == RefusalReason::TargetLost && check_crash(node, call.fingerprint, address).await;
+    let is_suspect = reason == RefusalReason::TargetLost && check_crash(node, call, address).await;
     if is_suspect {
         headers::set(response.headers_mut(), headers::NO_RETRY, true);
     }
     response
 }
 
-fn note_end(
-    node: NodeHandle,
-    fingerprint: Fingerprint,
-    address: std::net::SocketAddr,
-    end: BodyEnd,
-) {
+fn note_end(node: NodeHandle, call: &GateCall, address: std::net::SocketAddr, end: BodyEnd) {
+    let fingerprint = call.fingerprint;
     match end {
         BodyEnd::Whole => {
             let is_cleared = lock(&node.suspects).note_success(fingerprint);
@@ -348,8 +343,9 @@
             }
         }
         BodyEnd::Failed => {
+            let call = call.clone();
             tokio::spawn(async move {
-                check_crash(&node, fingerprint, address).await;
+                check_crash(&node, &call, address).await;
             });
         }
         BodyEnd::Dropped => {}
@@ -357,12 +353,8 @@
 }
 
 /// Looks whether the target's process is gone, and if so holds that against
-/// the request. Returns whether the request is suspect.
-async fn check_crash(
-    node: &NodeHandle,
-    fingerprint: Fingerprint,
-    address: std::net::SocketAddr,
-) -> bool {
+/// the request and withdraws the target. Returns whether the request is suspect.
+async fn check_crash(node: &NodeHandle, call: &GateCall, address: std::net::SocketAddr) -> bool {
     let connecting = tokio::net::TcpStream::connect(address);
     let is_gone = !matches!(
         tokio::time::timeout(CRASH_CHECK_TIME, connecting).await,
@@ -373,6 +365,9 @@
     }
     node.metrics.target_losses.inc();
     node.target_pool.forget(address);
+    // It announces itself again when it is back.
+    targets::withdraw(node, &call.service).await;
+    let fingerprint = call.fingerprint;
     let now = node.clock.now();
     let loss = node.next_loss();
     let is_new = {
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -6,7 +6,8 @@
 use http_body_util::Limited;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Request, Response, Uri};
 use rand::RngExt;
 use tokio::time::timeout_at;
 use wisteriaturn::clock::lock;
@@ -116,7 +117,7 @@
         .ok_or(RefusalReason::RouteLimit)?;
     let asked = headers::deadline(request.headers());
     let deadline = CallDeadline::of_call(&node.clock, route.spec.deadline(), asked);
-    let call = read(node, view, Arc::clone(&route), deadline, &host, request).await?;
+    let call = read(node, view, Arc::clone(&route), deadline, request).await?;
     let response = attempt::run(node, call).await;
     Ok(ServedCall {
         response,
@@ -150,7 +151,6 @@
     view: Arc<ServingView>,
     route: Arc<RouteEntry>,
     deadline: CallDeadline,
-    host: &str,
     request: Request<Incoming>,
 ) -> Result<RoutedCall, RefusalReason> {
     let (mut parts, body) = request.into_parts();
@@ -176,11 +176,15 @@
         .map_err(|_| RefusalReason::BadRequest)?;
     let service = choose_service(&route);
     let fingerprint = match key.as_ref().filter(|_| !is_idempotent) {
-        Some(key) => Fingerprint::of_parts(&[b"key", key.as_bytes()]),
+        Some(key) => {
+            let name = service.spec.name.as_str().as_bytes();
+            Fingerprint::of_parts(&[b"key", name, key.as_bytes()])
+        }
         None => Fingerprint::of_parts(&[
             parts.method.as_str().as_bytes(),
-            host.as_bytes(),
-            parts.uri.to_string().as_bytes(),
+            // Not the host: callers may name the node they connect to.
+            service.spec.name.as_str().as_bytes(),
+            path_and_query(&parts.uri).as_bytes(),
             body.head(),
         ]),
     };
@@ -201,6 +205,11 @@
     })
 }
 
+/// Returns the path and the query, without the host that an absolute form has.
+fn path_and_query(uri: &Uri) -> &str {
+    uri.path_and_query().map_or("/", PathAndQuery::as_str)
+}
+
 /// Chooses one of a route's services by weight.
 fn choose_service(route: &RouteEntry) -> Arc<ServiceEntry> {
     let total: u64 = route
