testing: check every promise from outside in randomised runs

Ruled out: watching the nodes' logs for promises (a node that is wrong would say so in the same wrong words); targets note their runs in a file that outlives them, callers keep what they were told, and an observer reads every node's view.

Before: no run with mixed faults.

Connections that wait to be accepted when a node stops are served.

--- a/testing/src/bin/target-standin.rs
+++ b/testing/src/bin/target-standin.rs
@@ -163,7 +163,11 @@
             .and_then(|value| value.parse().ok())
             .unwrap_or_default()
     };
-    tokio::time::sleep(Duration::from_millis(number("x-sleep-ms"))).await;
+    let sleep = number("x-sleep-ms");
+    if sleep > 0 {
+        // A sleep of 0 would still wait for the next tick of the timer.
+        tokio::time::sleep(Duration::from_millis(sleep)).await;
+    }
     let status = match parts
         .headers
         .get("x-next")
--- /dev/null
+++ b/testing/src/experiment/chaos.rs
@@ -0,0 +1,308 @@
+//! One randomised run: load, operators, mixed faults, and every promise
+//! checked from outside.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use eyre::Result;
+use gumdrop::Options;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+
+use crate::client;
+use crate::cluster::{ClusterPlan, TestCluster};
+use crate::experiment::callers::{CallerLog, caller_task};
+use crate::experiment::faults::{FaultPlan, start_target};
+use crate::experiment::observer::{ViewLog, observe_task};
+use crate::metrics;
+
+/// How the run is made.
+#[derive(Debug, Options)]
+pub struct ChaosOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "length of the run in seconds", default = "20")]
+    seconds: u64,
+    #[options(help = "seed of the faults and the load", default = "1")]
+    seed: u64,
+    #[options(help = "number of nodes, each with a target", default = "8")]
+    nodes: usize,
+    #[options(help = "number of data centres", default = "3")]
+    places: usize,
+    #[options(help = "number of callers", default = "12")]
+    callers: u64,
+}
+
+/// Accepted versions with the time at which their writer was told.
+type Accepted = Vec<(u64, Instant)>;
+
+/// Runs and prints the table; returns whether every promise was kept.
+pub async fn run(options: ChaosOptions) -> Result<bool> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes: options.nodes,
+        places: options.places,
+        tuning: "probe_interval_ms = 300\nsuspect_timeout_ms = 1500\nsnapshot_every = 20".into(),
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster
+        .add_service("portal", json!({ "deadline_ms": 3000 }))
+        .await?;
+    cluster
+        .add_service("dispatch", json!({ "deadline_ms": 3000 }))
+        .await?;
+    for index in 0..options.nodes {
+        start_target(&mut cluster, index)?;
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let views = Arc::new(ViewLog::new(options.nodes));
+    let calls = Arc::new(CallerLog::default());
+    let ingresses = Arc::new(
+        (0..options.nodes)
+            .map(|i| cluster.ingress(i))
+            .collect::<Vec<_>>(),
+    );
+    let mut tasks = tokio::task::JoinSet::new();
+    for index in 0..options.nodes {
+        let (admin, views, stop) = (cluster.admin(index), Arc::clone(&views), Arc::clone(&stop));
+        tasks.spawn(observe_task(admin, index, views, stop));
+    }
+    for caller in 0..options.callers {
+        let seed = options.seed * 1_000 + caller;
+        let stop = Arc::clone(&stop);
+        tasks.spawn(caller_task(
+            Arc::clone(&ingresses),
+            Arc::clone(&calls),
+            seed,
+            stop,
+        ));
+    }
+    let admins: Vec<_> = (0..options.nodes)
+        .map(|index| cluster.admin(index))
+        .collect();
+    let operator = tokio::spawn(operate(admins, options.seed, Arc::clone(&stop)));
+
+    let mut faults = FaultPlan::new(options.seed, options.nodes);
+    let until = Instant::now() + Duration::from_secs(options.seconds);
+    while Instant::now() < until {
+        faults.step(&mut cluster, &views).await?;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    faults.heal(&mut cluster, &views).await?;
+    stop.store(true, Ordering::Relaxed);
+    let accepted = operator.await?;
+    while tasks.join_next().await.is_some() {}
+    cluster.wait_ready().await?;
+    let last = accepted
+        .iter()
+        .map(|(version, _)| *version)
+        .max()
+        .unwrap_or_default();
+    cluster.wait_version(last).await?;
+    report(&mut cluster, &options, &faults, &views, &calls, &accepted).await
+}
+
+/// Writes changes through random nodes: good ones, races and bad ones.
+async fn operate(admins: Vec<std::net::SocketAddr>, seed: u64, stop: Arc<AtomicBool>) -> Accepted {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
+    let mut accepted = Vec::new();
+    let mut number = 0_u64;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let admin = admins[rng.random_range(0..admins.len())];
+        let operations = match rng.random_range(0..4_u8) {
+            0 => json!([{ "put": { "kind": "route", "name": "bad", "path": "/bad",
+                "services": [{ "service": format!("nowhere-{number}") }] } }]),
+            1 => json!([{ "expect": number, "put": { "kind": "service", "name": "portal",
+                "permit": ["127.0.0.0/8"] } }]),
+            _ => json!([
+                { "put": { "kind": "service", "name": format!("extra-{}", number % 5),
+                    "permit": ["127.0.0.0/8"], "max_slots": 1 + number % 60 } },
+                { "put": { "kind": "route", "name": format!("extra-{}", number % 5),
+                    "path": format!("/extra-{}", number % 5),
+                    "services": [{ "service": format!("extra-{}", number % 5) }] } },
+            ]),
+        };
+        let body = json!({ "operations": operations }).to_string();
+        if let Ok(reply) = client::post(admin, "/v1/changes", &body).await
+            && reply.status == 200
+            && let Some(version) = reply.json()["version"].as_u64()
+        {
+            accepted.push((version, Instant::now()));
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(50..300))).await;
+    }
+    accepted
+}
+
+async fn report(
+    cluster: &mut TestCluster,
+    options: &ChaosOptions,
+    faults: &FaultPlan,
+    views: &ViewLog,
+    calls: &CallerLog,
+    accepted: &Accepted,
+) -> Result<bool> {
+    println!(
+        "seed {} for {} s, {} nodes",
+        options.seed, options.seconds, options.nodes
+    );
+    println!("faults: {:?}", faults.counts);
+    print_outcomes(calls);
+    let runs = cluster.runs();
+    let most = most_runs(&runs);
+    let not_run = not_run_but_ran(&runs, &calls.told.lock().expect("no panic"));
+    let done_not_run = done_but_not_ran(&runs, &calls.told.lock().expect("no panic"));
+    let cut = cut_by_stops(faults, calls);
+    let mut violations = 0.0;
+    for index in 0..options.nodes {
+        let text = cluster.metrics(index).await;
+        violations += metrics::sum(&text, "wisteriaturn_invariant_violations", "");
+    }
+    let took = convergence(views, accepted, options.nodes);
+    let lost = lost_versions(cluster, accepted).await;
+    let promises = [
+        (
+            "most executions of one call that must run once",
+            most as u64,
+            1,
+        ),
+        ("executions among those told not-run", not_run, 0),
+        ("told done without an execution", done_not_run, 0),
+        (
+            "version regressions",
+            views.regressions.lock().expect("no panic").len() as u64,
+            0,
+        ),
+        (
+            "dangling references",
+            views.dangling.lock().expect("no panic").len() as u64,
+            0,
+        ),
+        (
+            "answers to another request",
+            calls.crossed.load(Ordering::Relaxed),
+            0,
+        ),
+        ("calls cut by planned stops", cut, 0),
+        (
+            "planned stops that did not end",
+            u64::from(faults.bad_stops),
+            0,
+        ),
+        ("accepted versions lost", lost, 0),
+        ("invariant violations in the nodes", violations as u64, 0),
+        (
+            "nodes that ended by themselves",
+            u64::from(cluster.has_crashed()),
+            0,
+        ),
+    ];
+    println!("{:<52}{:>8}{:>8}", "promise", "seen", "allowed");
+    for (name, seen, allowed) in promises {
+        println!("{name:<52}{seen:>8}{allowed:>8}");
+    }
+    println!(
+        "convergence of {} changes over nodes that were up, in ms: {took}",
+        accepted.len()
+    );
+    let is_kept = promises.iter().all(|(_, seen, allowed)| seen <= allowed);
+    if is_kept {
+        cluster.remove_folder();
+    } else {
+        println!("outputs are in {}", cluster.folder.display());
+    }
+    println!(
+        "{}",
+        if is_kept {
+            "all promises kept"
+        } else {
+            "PROMISES BROKEN"
+        }
+    );
+    Ok(is_kept)
+}
+
+fn print_outcomes(calls: &CallerLog) {
+    let outcomes = calls.outcomes.lock().expect("no panic");
+    let mut rows: Vec<_> = outcomes.iter().collect();
+    rows.sort();
+    println!(
+        "{:<8}{:<14}{:<20}{:>8}",
+        "call", "outcome", "reason", "count"
+    );
+    for ((kind, outcome, reason), count) in rows {
+        println!("{kind:<8}{outcome:<14}{reason:<20}{count:>8}");
+    }
+}
+
+fn must_run_once(id: &str) -> bool {
+    id.starts_with("keyed") || id.starts_with("plain")
+}
+
+fn most_runs(runs: &HashMap<String, usize>) -> usize {
+    let once = runs.iter().filter(|(id, _)| must_run_once(id));
+    once.map(|(_, count)| *count).max().unwrap_or_default()
+}
+
+/// Counts runs of calls whose every answer was `not-run`.
+fn not_run_but_ran(runs: &HashMap<String, usize>, told: &HashMap<String, Vec<String>>) -> u64 {
+    let denied = told
+        .iter()
+        .filter(|(_, told)| told.iter().all(|outcome| outcome == "not-run"));
+    denied.filter(|(id, _)| runs.contains_key(*id)).count() as u64
+}
+
+fn done_but_not_ran(runs: &HashMap<String, usize>, told: &HashMap<String, Vec<String>>) -> u64 {
+    let done = told
+        .iter()
+        .filter(|(_, told)| told.iter().any(|outcome| outcome == "done"));
+    done.filter(|(id, _)| !runs.contains_key(*id)).count() as u64
+}
+
+/// Counts calls that ended without an answer while their ingress stopped as
+/// planned.
+fn cut_by_stops(faults: &FaultPlan, calls: &CallerLog) -> u64 {
+    let cut = calls.cut.lock().expect("no panic");
+    let is_cut = |(index, when): &&(usize, Instant)| {
+        faults
+            .stops
+            .iter()
+            .any(|(node, began, ended)| node == index && began <= when && when <= ended)
+    };
+    cut.iter().filter(is_cut).count() as u64
+}
+
+/// Counts accepted versions whose change the configuration does not show as
+/// accepted any more.
+async fn lost_versions(cluster: &TestCluster, accepted: &Accepted) -> u64 {
+    let highest = accepted
+        .iter()
+        .map(|(version, _)| *version)
+        .max()
+        .unwrap_or_default();
+    let held = cluster.status(0).await["version"]
+        .as_u64()
+        .unwrap_or_default();
+    u64::from(held < highest)
+}
+
+fn convergence(views: &ViewLog, accepted: &Accepted, nodes: usize) -> Value {
+    let mut times: Vec<u64> = Vec::new();
+    for (version, when) in accepted {
+        for index in 0..nodes {
+            if let Some(took) = views.took(index, *version, *when) {
+                times.push(took.as_millis() as u64);
+            }
+        }
+    }
+    times.sort_unstable();
+    let at = |share: f64| -> u64 {
+        let index = ((times.len() as f64 * share) as usize).min(times.len().saturating_sub(1));
+        times.get(index).copied().unwrap_or_default()
+    };
+    json!({ "p50": at(0.5), "p99": at(0.99), "max": at(1.0) })
+}
--- /dev/null
+++ b/testing/src/experiment/mod.rs
@@ -0,0 +1,8 @@
+//! Experiments over a mesh of real processes.
+
+pub mod callers;
+pub mod chaos;
+pub mod faults;
+pub mod latency;
+pub mod observer;
+pub mod spread;
--- a/testing/src/lib.rs
+++ b/testing/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod client;
 pub mod cluster;
+pub mod experiment;
 pub mod metrics;
 pub mod process;
--- /dev/null
+++ b/tests/integration/gate_rules.rs
@@ -0,0 +1,308 @@
+//! The gate: slots, the ledger, claims and quarantine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use wisteriaturn::clock::{Clock, ManualClock, SharedClock};
+use wisteriaturn::config::resource::CallClass;
+use wisteriaturn::gate::claim::{ClaimBatch, ClaimFold, ClaimHolder, ClaimItem, ClaimVerdict};
+use wisteriaturn::gate::ledger::{CallEnd, CallInquiry, CallLedger, CallTicket, KeptAnswer};
+use wisteriaturn::gate::outcome::RefusalReason;
+use wisteriaturn::gate::quarantine::{QUARANTINE_TIME, RequestStanding, SuspectTable};
+use wisteriaturn::gate::slots::{SlotGate, SlotPermit};
+use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, LifeId, NodeAddress};
+use wisteriaturn::invariant::{RULES, violations};
+
+fn address(host: u8) -> NodeAddress {
+    SocketAddr::from(([127, 0, 0, host], 7083))
+}
+
+fn gate(slots: u16) -> (SlotGate, Arc<ManualClock>) {
+    let clock = ManualClock::new();
+    let shared: SharedClock = Arc::clone(&clock) as SharedClock;
+    (SlotGate::new(slots, shared), clock)
+}
+
+async fn take(gate: &SlotGate, class: CallClass, until: Instant) -> SlotPermit {
+    gate.acquire(class, until).await.expect("a slot")
+}
+
+#[tokio::test]
+async fn calls_wait_by_class_and_then_by_deadline() {
+    let (gate, clock) = gate(1);
+    let until = |ms| clock.now() + Duration::from_millis(ms);
+    let held = take(&gate, CallClass::Interactive, until(1000)).await;
+    let mut waiting = Vec::new();
+    let (sender, mut order) = tokio::sync::mpsc::unbounded_channel();
+    for (name, class, ms) in [
+        ("bulk", CallClass::Bulk, 100),
+        ("late", CallClass::Interactive, 900),
+        ("soon", CallClass::Interactive, 500),
+    ] {
+        let (other, sender, until) = (gate.clone(), sender.clone(), until(ms));
+        waiting.push(tokio::spawn(async move {
+            let permit = other.acquire(class, until).await;
+            sender.send((name, permit)).expect("a receiver");
+        }));
+        while gate.load().waiting < waiting.len() {
+            tokio::task::yield_now().await;
+        }
+    }
+    drop(held);
+    for expected in ["soon", "late", "bulk"] {
+        let (name, permit) = order.recv().await.expect("a call");
+        assert_eq!(name, expected);
+        assert!(permit.is_ok());
+    }
+}
+
+#[tokio::test]
+async fn a_call_that_cannot_end_in_time_is_refused_at_once() {
+    let (gate, clock) = gate(1);
+    let until = |ms| clock.now() + Duration::from_millis(ms);
+    let first = take(&gate, CallClass::Interactive, until(1000)).await;
+    clock.advance(Duration::from_millis(100));
+    drop(first);
+    let _held = take(&gate, CallClass::Interactive, until(1000)).await;
+    let refused = gate.acquire(CallClass::Interactive, until(50)).await;
+    assert_eq!(refused.err(), Some(RefusalReason::Saturated));
+    let late = gate.acquire(CallClass::Interactive, clock.now()).await;
+    assert_eq!(late.err(), Some(RefusalReason::Deadline));
+}
+
+#[tokio::test]
+async fn a_full_queue_sheds_its_last_call_and_a_drain_sheds_all() {
+    let (gate, clock) = gate(1);
+    let until = |ms| clock.now() + Duration::from_millis(ms);
+    let _held = take(&gate, CallClass::Interactive, until(1000)).await;
+    let mut bulk = Vec::new();
+    for count in 1..=4 {
+        let (other, until) = (gate.clone(), until(500));
+        bulk.push(tokio::spawn(async move {
+            other.acquire(CallClass::Bulk, until).await.err()
+        }));
+        while gate.load().waiting < count {
+            tokio::task::yield_now().await;
+        }
+    }
+    let another = gate.acquire(CallClass::Bulk, until(600)).await;
+    assert_eq!(another.err(), Some(RefusalReason::Saturated));
+    let urgent = {
+        let (gate, until) = (gate.clone(), until(900));
+        tokio::spawn(async move { gate.acquire(CallClass::Interactive, until).await.err() })
+    };
+    let shed = bulk.pop().expect("a call").await.expect("no panic");
+    assert_eq!(shed, Some(RefusalReason::Saturated));
+    gate.drain();
+    for call in bulk {
+        assert_eq!(call.await.expect("no panic"), Some(RefusalReason::Draining));
+    }
+    assert_eq!(
+        urgent.await.expect("no panic"),
+        Some(RefusalReason::Draining)
+    );
+    let after = gate.acquire(CallClass::Interactive, until(900)).await;
+    assert_eq!(after.err(), Some(RefusalReason::Draining));
+}
+
+#[derive(Debug, Clone)]
+enum LedgerStep {
+    Enter(u8),
+    Start(u8),
+    End(u8),
+    Drop(u8),
+    Revoke(u8),
+    Wait(u16),
+}
+
+fn ledger_steps() -> impl Strategy<Value = Vec<LedgerStep>> {
+    let call = 0..4_u8;
+    let step = prop_oneof![
+        call.clone().prop_map(LedgerStep::Enter),
+        call.clone().prop_map(LedgerStep::Start),
+        call.clone().prop_map(LedgerStep::End),
+        call.clone().prop_map(LedgerStep::Drop),
+        call.prop_map(LedgerStep::Revoke),
+        (0..90_u16).prop_map(LedgerStep::Wait),
+    ];
+    prop::collection::vec(step, 0..60)
+}
+
+proptest! {
+    #[test]
+    fn what_was_said_not_to_run_never_runs(steps in ledger_steps()) {
+        let clock = ManualClock::new();
+        let ledger = CallLedger::new(Arc::clone(&clock) as SharedClock);
+        let mut tickets: Vec<Option<CallTicket>> = (0..4).map(|_| None).collect();
+        let mut started = [0_u32; 4];
+        let mut denied = [false; 4];
+        for step in steps {
+            match step {
+                LedgerStep::Enter(call) => {
+                    if let Ok(ticket) = ledger.enter(CallId(call.into())) {
+                        // The same call is entered again only after it is forgotten.
+                        tickets[usize::from(call)] = Some(ticket);
+                    }
+                }
+                LedgerStep::Start(call) => {
+                    let place = usize::from(call);
+                    if started[place] == 0
+                        && let Some(ticket) = &mut tickets[place]
+                        && ticket.start().is_ok()
+                    {
+                        prop_assert!(!denied[place]);
+                        started[place] += 1;
+                    }
+                }
+                LedgerStep::End(call) => {
+                    let place = usize::from(call);
+                    if let Some(ticket) = tickets[place].take() {
+                        let end = if started[place] > 0 {
+                            CallEnd::Answered(KeptAnswer {
+                                status: 200,
+                                headers: Vec::new(),
+                                body: bytes::Bytes::new(),
+                            })
+                        } else {
+                            CallEnd::Refused(RefusalReason::Saturated)
+                        };
+                        ticket.end(end);
+                    }
+                }
+                LedgerStep::Drop(call) => tickets[usize::from(call)] = None,
+                LedgerStep::Revoke(call) => {
+                    let place = usize::from(call);
+                    if let CallInquiry::NotRun(_) = ledger.revoke(CallId(call.into())) {
+                        // A call that ran is remembered for as long as anyone
+                        // may ask; this run stays below that time.
+                        prop_assert_eq!(started[place], 0);
+                        denied[place] = true;
+                    }
+                }
+                LedgerStep::Wait(ms) => clock.advance(Duration::from_millis(ms.into())),
+            }
+        }
+        for rule in RULES {
+            prop_assert_eq!(violations(rule), 0);
+        }
+    }
+}
+
+fn holder(run: u128) -> ClaimHolder {
+    ClaimHolder {
+        run: CallId(run),
+        hop: address(1),
+        life: LifeId(1),
+    }
+}
+
+fn batch(id: u128, wall_ms: u64, items: Vec<ClaimItem>) -> Vec<u8> {
+    let batch = ClaimBatch {
+        id: CallId(id),
+        wall_ms,
+        lifetime_ms: 1_000,
+        items,
+    };
+    batch.encode().expect("a record").to_vec()
+}
+
+fn claim(key: u128, run: u128) -> ClaimItem {
+    ClaimItem::Claim {
+        key: KeyHash(key),
+        holder: holder(run),
+    }
+}
+
+#[test]
+fn the_first_claim_wins_until_it_is_released_or_expires() {
+    let mut fold = ClaimFold::default();
+    assert_eq!(
+        fold.fold(&batch(1, 0, vec![claim(7, 1)])),
+        [ClaimVerdict::Won]
+    );
+    let lost = ClaimVerdict::Lost(holder(1));
+    assert_eq!(fold.fold(&batch(2, 10, vec![claim(7, 2)])), [lost]);
+    // The same run asks again after a lost answer.
+    assert_eq!(
+        fold.fold(&batch(3, 20, vec![claim(7, 1)])),
+        [ClaimVerdict::Won]
+    );
+    let release = |run| ClaimItem::Release {
+        key: KeyHash(7),
+        run: CallId(run),
+    };
+    // Only the holder's release frees the key.
+    fold.fold(&batch(4, 30, vec![release(2)]));
+    assert_eq!(fold.holder(KeyHash(7)), Some(&holder(1)));
+    fold.fold(&batch(5, 40, vec![release(1)]));
+    assert_eq!(
+        fold.fold(&batch(6, 50, vec![claim(7, 3)])),
+        [ClaimVerdict::Won]
+    );
+    assert_eq!(
+        fold.fold(&batch(7, 1_050, vec![claim(7, 4)])),
+        [ClaimVerdict::Won]
+    );
+    fold.fold(b"noise");
+    assert_eq!(fold.next().0, 8);
+}
+
+proptest! {
+    #[test]
+    fn two_keepers_never_both_win_a_key(
+        claims in prop::collection::vec((0..3_u128, 0..6_u128, any::<bool>()), 0..40),
+    ) {
+        // Each keeper answers from its own fold of the one stream, however the
+        // records of both are mixed in it.
+        let mut stream: Vec<Vec<u8>> = Vec::new();
+        let mut folds = [ClaimFold::default(), ClaimFold::default()];
+        let mut winners: std::collections::HashMap<u128, u128> = Default::default();
+        for (index, (key, run, keeper)) in claims.into_iter().enumerate() {
+            stream.push(batch(index as u128, index as u64, vec![claim(key, run)]));
+            let fold = &mut folds[usize::from(keeper)];
+            let mut verdict = Vec::new();
+            while (fold.next().0 as usize) < stream.len() {
+                let next = fold.next().0 as usize;
+                verdict = fold.fold(&stream[next]);
+            }
+            if verdict == [ClaimVerdict::Won] {
+                let winner = winners.entry(key).or_insert(run);
+                prop_assert_eq!(*winner, run);
+            }
+        }
+    }
+}
+
+#[test]
+fn two_lost_targets_quarantine_a_request_and_time_ends_it() {
+    let now = Instant::now();
+    let mut table = SuspectTable::new();
+    let (bad, page) = (Fingerprint(1), Fingerprint(2));
+    assert!(table.note_loss(bad, address(1), 5, now));
+    assert!(
+        !table.note_loss(bad, address(1), 5, now),
+        "news comes twice"
+    );
+    assert_eq!(table.standing(bad, now), RequestStanding::Suspect);
+    assert!(
+        table.note_loss(bad, address(1), 6, now),
+        "the same target again"
+    );
+    assert_eq!(table.standing(bad, now), RequestStanding::Suspect);
+    table.note_loss(bad, address(2), 1, now);
+    let until = now + QUARANTINE_TIME;
+    assert_eq!(
+        table.standing(bad, now),
+        RequestStanding::Quarantined(until)
+    );
+    // A late success elsewhere does not end it, time does.
+    assert!(!table.note_success(bad));
+    assert_eq!(table.standing(bad, until), RequestStanding::Clean);
+
+    table.note_loss(page, address(1), 7, now);
+    assert!(table.note_success(page), "a success clears a suspect");
+    assert_eq!(table.standing(page, now), RequestStanding::Clean);
+    assert!(table.has_succeeded(page));
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,7 +1,12 @@
 //! All tests: tables and properties of the decisions, and whole meshes of
 //! real processes. See `docs/PROOFS.md` for what each of them proves.
 
+mod config_fold;
+mod gate_rules;
+mod hostile_bytes;
+mod member_table;
 mod process_config;
 mod process_once;
 mod process_path;
 mod process_stop;
+mod route_rules;
--- /dev/null
+++ b/tests/integration/route_rules.rs
@@ -0,0 +1,235 @@
+//! The choice of a target, ejection, the retry budget and the route's bound.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use wisteriaturn::clock::{Clock, ManualClock, SharedClock};
+use wisteriaturn::config::resource::PolicySpec;
+use wisteriaturn::config::view::TargetEntry;
+use wisteriaturn::ids::{Incarnation, NodeAddress, Percent};
+use wisteriaturn::retry::budget::RetryBudget;
+use wisteriaturn::retry::deadline::CallDeadline;
+use wisteriaturn::route::choose::{CandidateVerdict, NodePlace, choose_target, warm_share};
+use wisteriaturn::route::limit::RouteLimit;
+use wisteriaturn::route::load::{AttemptResult, ServiceLoad};
+
+fn address(host: u8) -> NodeAddress {
+    NodeAddress::from(([127, 0, 0, host], 7083))
+}
+
+fn place() -> NodePlace {
+    NodePlace {
+        region: "r1".parse().expect("a name"),
+        data_centre: "r1-a".parse().expect("a name"),
+    }
+}
+
+fn policy() -> PolicySpec {
+    PolicySpec::default_for("portal".parse().expect("a name"))
+}
+
+fn target(host: u8, region: &str, data_centre: &str) -> TargetEntry {
+    TargetEntry {
+        node: address(host),
+        hop: address(host),
+        incarnation: Incarnation(1),
+        region: region.parse().expect("a name"),
+        data_centre: data_centre.parse().expect("a name"),
+        slots: 4,
+        since: Instant::now(),
+        is_suspect: false,
+    }
+}
+
+/// Two targets near, one in the region, one beyond.
+fn spread() -> Vec<TargetEntry> {
+    vec![
+        target(1, "r1", "r1-a"),
+        target(2, "r1", "r1-a"),
+        target(3, "r1", "r1-b"),
+        target(4, "r2", "r2-a"),
+    ]
+}
+
+fn choose(targets: &[TargetEntry], load: &mut ServiceLoad, tried: &[NodeAddress]) -> Option<usize> {
+    let now = Instant::now();
+    let mut rng = rand::rng();
+    choose_target(&place(), targets, &policy(), load, tried, now, &mut rng).chosen
+}
+
+#[test]
+fn near_targets_go_first_and_calls_spill_with_hysteresis() {
+    let targets = spread();
+    let mut load = ServiceLoad::default();
+    for _ in 0..50 {
+        assert!(choose(&targets, &mut load, &[]) < Some(2));
+    }
+    for _ in 0..4 {
+        load.begin(&targets[0]);
+        load.begin(&targets[1]);
+    }
+    assert_eq!(
+        choose(&targets, &mut load, &[]).map(|_| load.reach),
+        Some(1)
+    );
+    // A little room does not bring the calls back at once.
+    load.leave(address(1));
+    choose(&targets, &mut load, &[]);
+    assert_eq!(load.reach, 1);
+    for _ in 0..3 {
+        load.leave(address(1));
+    }
+    choose(&targets, &mut load, &[]);
+    assert_eq!(load.reach, 0);
+}
+
+#[test]
+fn without_near_targets_calls_go_further_at_once() {
+    let targets = vec![target(4, "r2", "r2-a")];
+    let mut load = ServiceLoad::default();
+    assert_eq!(choose(&targets, &mut load, &[]), Some(0));
+    assert_eq!(choose(&targets, &mut load, &[address(4)]), None);
+    assert_eq!(choose(&[], &mut load, &[]), None);
+}
+
+#[test]
+fn the_less_loaded_of_two_wins_and_a_cold_target_gets_less() {
+    let targets = vec![target(1, "r1", "r1-a"), target(2, "r1", "r1-a")];
+    let mut load = ServiceLoad::default();
+    load.begin(&targets[0]);
+    load.begin(&targets[0]);
+    for _ in 0..20 {
+        assert_eq!(choose(&targets, &mut load, &[]), Some(1));
+    }
+    let policy = policy();
+    assert!(warm_share(Duration::ZERO, &policy) < 0.2);
+    assert!(warm_share(Duration::from_secs(60), &policy) >= 1.0);
+}
+
+#[test]
+fn failures_eject_a_bounded_share_for_a_growing_time() {
+    let targets = spread();
+    let policy = policy();
+    let mut load = ServiceLoad::default();
+    let now = Instant::now();
+    let fail = |load: &mut ServiceLoad, target: &TargetEntry, now| {
+        let took = Duration::from_millis(1);
+        load.note_result(target, AttemptResult::Failed, took, &policy, 4, now)
+    };
+    for target in &targets {
+        for _ in 0..4 {
+            assert_eq!(fail(&mut load, target, now), None);
+        }
+    }
+    assert_eq!(
+        fail(&mut load, &targets[0], now),
+        Some(Duration::from_secs(2))
+    );
+    assert_eq!(
+        fail(&mut load, &targets[1], now),
+        Some(Duration::from_secs(2))
+    );
+    assert_eq!(fail(&mut load, &targets[2], now), None, "half are ejected");
+    assert_eq!(load.ejected(now), 2);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(load.ejected(later), 0);
+    assert_eq!(
+        fail(&mut load, &targets[0], later),
+        Some(Duration::from_secs(4))
+    );
+    // A new life of its node starts without a record.
+    let mut reborn = targets[0].clone();
+    reborn.incarnation = Incarnation(2);
+    assert!(!load.get(&reborn).is_ejected(later));
+}
+
+#[test]
+fn a_target_that_reports_load_of_others_is_believed_for_a_time() {
+    let targets = [target(1, "r1", "r1-a"), target(2, "r1", "r1-a")];
+    let mut load = ServiceLoad::default();
+    let now = Instant::now();
+    load.get(&targets[0]);
+    load.note_report(address(1), 4, now);
+    assert_eq!(load.get(&targets[0]).busy(now), 4);
+    load.begin(&targets[0]);
+    assert_eq!(load.get(&targets[0]).busy(now), 5);
+    assert_eq!(load.get(&targets[0]).busy(now + Duration::from_secs(3)), 1);
+}
+
+proptest! {
+    #[test]
+    fn a_choice_is_never_one_that_was_tried(
+        tried in prop::collection::vec(1..5_u8, 0..4),
+        busy in prop::collection::vec(0..6_u8, 4),
+        ejected in prop::collection::vec(any::<bool>(), 4),
+    ) {
+        let targets = spread();
+        let policy = policy();
+        let mut load = ServiceLoad::default();
+        let now = Instant::now();
+        for (index, target) in targets.iter().enumerate() {
+            for _ in 0..busy[index] {
+                load.begin(target);
+            }
+            for _ in 0..if ejected[index] { 5 } else { 0 } {
+                load.note_result(target, AttemptResult::Failed, Duration::ZERO, &policy, 4, now);
+            }
+        }
+        let tried: Vec<_> = tried.into_iter().map(address).collect();
+        let mut rng = rand::rng();
+        let choice = choose_target(&place(), &targets, &policy, &mut load, &tried, now, &mut rng);
+        match choice.chosen {
+            Some(index) => {
+                prop_assert!(!tried.contains(&targets[index].node));
+                prop_assert_eq!(choice.candidates[index].verdict, CandidateVerdict::Chosen);
+            }
+            None => prop_assert!(targets.iter().all(|target| tried.contains(&target.node))),
+        }
+        prop_assert!(load.ejected(now) <= 2);
+    }
+
+    #[test]
+    fn retries_stay_within_their_share(
+        calls in 1..2_000_u32,
+        percent in 0..=100_u8,
+        step_ms in 0..20_u64,
+    ) {
+        let clock = ManualClock::new();
+        let start = clock.now();
+        let budget = RetryBudget::new(Arc::clone(&clock) as SharedClock);
+        let mut retries = 0;
+        for _ in 0..calls {
+            budget.note_call(Percent(percent));
+            retries += u32::from(budget.try_take());
+            clock.advance(Duration::from_millis(step_ms));
+        }
+        let seconds = clock.now().duration_since(start).as_secs_f64();
+        let most = 10.0 + seconds + f64::from(calls) * f64::from(percent) / 100.0;
+        prop_assert!(f64::from(retries) <= most.ceil());
+    }
+}
+
+#[test]
+fn a_deadline_only_shrinks() {
+    let clock = ManualClock::new();
+    let shared: SharedClock = Arc::clone(&clock) as SharedClock;
+    let route = Duration::from_secs(2);
+    let of = |asked| CallDeadline::of_call(&shared, route, asked).remaining(clock.now());
+    assert_eq!(of(None), route);
+    assert_eq!(of(Some(Duration::from_secs(9))), route);
+    assert_eq!(of(Some(Duration::from_millis(5))), Duration::from_millis(5));
+    let deadline = CallDeadline::of_call(&shared, route, None);
+    clock.advance(Duration::from_millis(1_999));
+    assert!(!deadline.allows_attempt(clock.now()));
+}
+
+#[test]
+fn a_route_takes_no_more_calls_than_its_bound() {
+    let limit = RouteLimit::new();
+    let route = "portal".parse().expect("a name");
+    let first = limit.enter(&route, Some(1)).expect("room");
+    assert!(limit.enter(&route, Some(1)).is_none());
+    drop(first);
+    assert!(limit.enter(&route, Some(1)).is_some());
+}
--- a/wisteriaturnd/src/gate/port.rs
+++ b/wisteriaturnd/src/gate/port.rs
@@ -42,7 +42,10 @@
     let connections = Arc::new(Semaphore::new(CONNECTION_LIMIT));
     let mut stage = node.stage.subscribe();
     loop {
+        // Connections that wait to be accepted when the node stops are still
+        // served: a closed listener would reset them.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             _ = stage.wait_for(|stage| *stage >= NodeStage::Stopping) => return,
         };
