listener: serve the request that arrives as a node stops

Cause: hyper's graceful shutdown closes a connection of which it has not read a byte, so a request that its caller had just sent was reset.

Ruled out: drain timeouts (no drain-cut or connections-cut line in any node), answers cut half way (all three calls had no byte of an answer), a closed listener alone (connections that wait are already accepted first).

While a node drains, answers also ask callers to close, so that few connections are open when it stops. Accepting and serving stood twice, in the ingress and the gate's port; both now use one module.

The run now stops only nodes that have opened their ports.

Also here: a request's head is bounded by its own count (hyper's buffer let a 70 kB header through a bound of 64 kB), the load of a gate no longer shows in answers to callers, and a link between two nodes can be cut in tests.

--- a/testing/src/cluster.rs
+++ b/testing/src/cluster.rs
@@ -289,6 +289,14 @@
         .await
     }
 
+    /// Waits until one node has opened its ports.
+    pub async fn wait_node_open(&self, index: usize) -> Result<()> {
+        self.wait(&format!("node {index} to open its ports"), async || {
+            client::get(self.admin(index), "/health").await.is_ok()
+        })
+        .await
+    }
+
     /// Returns the status of a node, or nothing when it does not answer.
     pub async fn status(&self, index: usize) -> Value {
         let reply = client::get(self.admin(index), "/v1/status").await;
--- a/testing/src/experiment/faults.rs
+++ b/testing/src/experiment/faults.rs
@@ -165,6 +165,9 @@
         views: &ViewLog,
         index: usize,
     ) -> Result<()> {
+        // A process that has not opened its ports yet has no call to cut and
+        // no handler for the signal either; it ends by it.
+        cluster.wait_node_open(index).await?;
         let began = Instant::now();
         cluster.node(index).signal("TERM");
         let ended = tokio::time::timeout(Duration::from_secs(60), cluster.node(index).wait()).await;
--- a/testing/src/lib.rs
+++ b/testing/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod client;
 pub mod cluster;
 pub mod experiment;
+pub mod forwarder;
 pub mod metrics;
 pub mod process;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,8 +4,10 @@
 mod config_fold;
 mod gate_rules;
 mod hostile_bytes;
+mod inside_cut;
 mod member_table;
 mod process_config;
+mod process_input;
 mod process_once;
 mod process_path;
 mod process_stop;
--- a/tests/integration/process_stop.rs
+++ b/tests/integration/process_stop.rs
@@ -5,7 +5,7 @@
 
 use eyre::Result;
 use serde_json::json;
-use wisteriaturn_testing::client;
+use wisteriaturn_testing::client::{self, HttpLink};
 use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
 use wisteriaturn_testing::metrics;
 
@@ -234,3 +234,35 @@
     cluster.remove_folder();
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_sent_as_a_node_stops_is_served() -> Result<()> {
+    let mut cluster = portal_cluster(2, 1, 6).await?;
+    // Holds the stop open until the other request is there.
+    let ingress = cluster.ingress(1);
+    let held = tokio::spawn(async move {
+        let headers = [("x-sleep-ms", "3000"), ("x-run", "held")];
+        client::send(ingress, "GET", "/portal", &headers, b"").await
+    });
+    cluster
+        .wait("the call to run", async || {
+            cluster.runs().contains_key("held")
+        })
+        .await?;
+    // A connection that has not brought a request yet.
+    let mut link = HttpLink::open(ingress).await?;
+    cluster.node(1).signal("TERM");
+    cluster
+        .wait("the node to close its ingress", async || {
+            let ready = client::get(cluster.admin(1), "/ready").await;
+            ready.is_ok_and(|reply| reply.text().contains("Stopping"))
+        })
+        .await?;
+    let reply = link.send("GET", "/portal", &[], b"").await?;
+    assert_eq!(reply.outcome(), "done", "{}", reply.text());
+    assert_eq!(reply.header("connection"), "close");
+    assert_eq!(held.await??.outcome(), "done");
+    assert_eq!(cluster.node(1).wait().await?, 0);
+    cluster.remove_folder();
+    Ok(())
+}
--- a/wisteriaturnd/src/gate/port.rs
+++ b/wisteriaturnd/src/gate/port.rs
@@ -1,17 +1,11 @@
 //! The port to which other nodes send calls: one task for each connection.
 
-use std::convert::Infallible;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 use wisteriaturn::gate::ledger::CallInquiry;
@@ -26,70 +20,37 @@
 use crate::handshake::{self, PortUse};
 use crate::headers;
 use crate::hop::{ASK_REVOKE, GateCall};
-use crate::node::{NodeHandle, NodeStage};
+use crate::listener::{PortLimits, accept_until_stopped, serve_http};
+use crate::node::NodeHandle;
 
-/// Connections that are open at once.
-const CONNECTION_LIMIT: usize = 4096;
-
-/// Largest head of a request in bytes; a caller's head with the mesh's own.
-const HEAD_LIMIT: usize = 80 * 1024;
+/// Bounds of the port. A request has a caller's head with the mesh's own
+/// headers, so its bounds are above those of the ingress.
+const LIMITS: PortLimits = PortLimits {
+    connections: 4096,
+    drop_cause: "hop-connections",
+    head_bytes: 80 * 1024,
+    headers: 120,
+};
 
 /// Longest wait for a call that runs when a node asks about it.
 const ASK_TIME: Duration = Duration::from_secs(30);
 
 /// Accepts connections until the node stops.
 pub async fn accept_task(node: NodeHandle, listener: TcpListener, tracker: TaskTracker) {
-    let connections = Arc::new(Semaphore::new(CONNECTION_LIMIT));
-    let mut stage = node.stage.subscribe();
-    loop {
-        // Connections that wait to be accepted when the node stops are still
-        // served: a closed listener would reset them.
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            _ = stage.wait_for(|stage| *stage >= NodeStage::Stopping) => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
-            node.metrics.note_drop("hop-connections");
-            continue;
-        };
-        let node = node.clone();
-        tracker.spawn(async move {
-            serve(node, stream).await;
-            drop(permit);
-        });
-    }
+    accept_until_stopped(node, listener, tracker, LIMITS, |node, stream| async move {
+        serve(&node, stream).await;
+    })
+    .await;
 }
 
-async fn serve(node: NodeHandle, mut stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
+async fn serve(node: &NodeHandle, mut stream: TcpStream) {
     let accepted =
         handshake::accept(&mut stream, &node.settings.keys, PortUse::Hop, node.life).await;
     if accepted.is_err() {
         node.metrics.note_drop("hop-unauthenticated");
         return;
     }
-    let mut stage = node.stage.subscribe();
-    let service = service_fn(|request| {
-        let node = node.clone();
-        async move { Ok::<_, Infallible>(handle(&node, request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .max_buf_size(HEAD_LIMIT)
-        .half_close(false)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = stage.wait_for(|stage| *stage >= NodeStage::Stopping) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    serve_http(node, stream, LIMITS, |request| handle(node, request)).await;
 }
 
 async fn handle(node: &NodeHandle, request: Request<Incoming>) -> Response<NodeBody> {
--- a/wisteriaturnd/src/gossip.rs
+++ b/wisteriaturnd/src/gossip.rs
@@ -45,7 +45,7 @@
         return;
     }
     node.note_sent(kind, to, sealed.len() + HEADER_BYTES);
-    let _ = node.udp.send_to(&sealed, to).await;
+    let _ = node.udp.send_to(&sealed, node.addresses.map(to)).await;
 }
 
 /// Sends a ping and returns what the other node says of itself, if it answers.
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -59,6 +59,7 @@
     response: Response<NodeBody>,
     outcome: CallOutcome,
     reason: Option<RefusalReason>,
+    busy: Option<u32>,
     is_final: bool,
 }
 
@@ -244,11 +245,14 @@
     let map = response.headers_mut();
     let outcome = headers::parsed(map, &headers::OUTCOME).unwrap_or(CallOutcome::Unknown);
     let reason = headers::parsed(map, &headers::REASON);
+    let busy = headers::parsed(map, &headers::BUSY);
     let is_final = map.remove(headers::NO_RETRY).is_some();
+    map.remove(headers::BUSY);
     AttemptEnd {
         response,
         outcome,
         reason,
+        busy,
         is_final,
     }
 }
@@ -263,7 +267,6 @@
 ) {
     let now = node.clock.now();
     let service = &call.service.spec.name;
-    let busy = headers::parsed(end.response.headers(), &headers::BUSY);
     let all = call.view.targets(service).len();
     let result = match (end.outcome, end.reason) {
         (CallOutcome::Done, _) => AttemptResult::Answered,
@@ -275,7 +278,7 @@
     };
     let took = now.duration_since(started);
     let ejected = node.load.with(service, |load| {
-        if let Some(busy) = busy {
+        if let Some(busy) = end.busy {
             load.note_report(target.node, busy, now);
         }
         load.note_result(target, result, took, &call.service.policy, all, now)
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -6,7 +6,7 @@
 use http_body_util::Limited;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use hyper::http::uri::PathAndQuery;
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
 use rand::RngExt;
 use tokio::time::timeout_at;
@@ -26,6 +26,9 @@
 use crate::metrics::CallLabels;
 use crate::node::{NodeHandle, NodeStage};
 
+/// Largest head of a request in bytes.
+const HEAD_LIMIT: usize = 64 * 1024;
+
 /// What is known of a call when it ends, for its log line and metrics.
 #[derive(Debug)]
 struct CallRecord {
@@ -133,12 +136,27 @@
     let has_both = map.contains_key(CONTENT_LENGTH) && map.contains_key(TRANSFER_ENCODING);
     let most = node.settings.tuning.max_body_bytes;
     let is_large = request.body().size_hint().lower() > most;
-    if has_both || is_large || map.get_all(HOST).iter().count() > 1 {
+    if has_both
+        || is_large
+        || head_bytes(request) > HEAD_LIMIT
+        || map.get_all(HOST).iter().count() > 1
+    {
         return Err(RefusalReason::BadRequest);
     }
     Ok(())
 }
 
+/// Returns the bytes of a request's head. The connection's buffer bounds them
+/// only roughly, since it grows by whole reads.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    let headers: usize = request
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    headers + request.uri().to_string().len()
+}
+
 fn host_of(request: &Request<Incoming>) -> Option<String> {
     match request.uri().host() {
         Some(host) => Some(host.to_owned()),
@@ -160,6 +178,7 @@
         .spec
         .idempotent
         .unwrap_or_else(|| parts.method.is_idempotent());
+    to_origin_form(&mut parts);
     let key = parts.headers.get(headers::IDEMPOTENCY_KEY).cloned();
     if key
         .as_ref()
@@ -184,7 +203,7 @@
             parts.method.as_str().as_bytes(),
             // Not the host: callers may name the node they connect to.
             service.spec.name.as_str().as_bytes(),
-            path_and_query(&parts.uri).as_bytes(),
+            parts.uri.to_string().as_bytes(),
             body.head(),
         ]),
     };
@@ -205,9 +224,14 @@
     })
 }
 
-/// Returns the path and the query, without the host that an absolute form has.
-fn path_and_query(uri: &Uri) -> &str {
-    uri.path_and_query().map_or("/", PathAndQuery::as_str)
+/// Turns `GET http://host/path` into `GET /path` with a Host header: the
+/// absolute form is for proxies, and a target need not read it (RFC 9112, 3.2).
+fn to_origin_form(parts: &mut Parts) {
+    if let Some(authority) = parts.uri.authority() {
+        headers::set(&mut parts.headers, HOST, authority);
+    }
+    let path = parts.uri.path_and_query().cloned();
+    parts.uri = path.map_or_else(Uri::default, Uri::from);
 }
 
 /// Chooses one of a route's services by weight.
--- a/wisteriaturnd/src/lib.rs
+++ b/wisteriaturnd/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod ingress;
 pub mod keeper;
 pub mod lifecycle;
+pub mod listener;
 pub mod log_http;
 pub mod log_memory;
 pub mod logs;
--- a/wisteriaturnd/src/lifecycle.rs
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -6,9 +6,8 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
-use wisteriaturn::clock::{SharedClock, lock};
+use wisteriaturn::clock::lock;
 use wisteriaturn::invariant;
-use wisteriaturn::log_port::LogPort;
 use wisteriaturn::member::record::MemberState;
 
 use crate::admin;
@@ -19,7 +18,6 @@
 use crate::node::{NodeBuilder, NodeHandle, NodeStage};
 use crate::peer_server;
 use crate::prober;
-use crate::settings::NodeSettings;
 use crate::start;
 use crate::targets;
 
@@ -45,18 +43,15 @@
     /// # Errors
     ///
     /// The error of a port that cannot be opened.
-    pub async fn start(
-        settings: NodeSettings,
-        clock: SharedClock,
-        log: LogPort,
-    ) -> std::io::Result<Self> {
+    pub async fn start(builder: NodeBuilder) -> std::io::Result<Self> {
+        let settings = builder.settings();
         invariant::set_strict(settings.strict);
         let udp = UdpSocket::bind(settings.peer).await?;
         let peer = TcpListener::bind(settings.peer).await?;
         let hop = TcpListener::bind(settings.hop).await?;
         let ingress = TcpListener::bind(settings.ingress).await?;
         let admin = TcpListener::bind(settings.admin).await?;
-        let node = NodeBuilder::new(settings, clock, log, udp).build();
+        let node = builder.build(udp);
         let connections = TaskTracker::new();
         tokio::spawn(gossip::receive_task(node.clone()));
         tokio::spawn(gossip::view_task(node.clone()));
--- a/wisteriaturnd/src/main.rs
+++ b/wisteriaturnd/src/main.rs
@@ -10,6 +10,7 @@
 use wisteriaturn::clock::SystemClock;
 use wisteriaturnd::lifecycle::RunningNode;
 use wisteriaturnd::log_http::http_log;
+use wisteriaturnd::node::NodeBuilder;
 use wisteriaturnd::settings::NodeSettings;
 use wisteriaturnd::{logs, trial};
 
@@ -80,7 +81,8 @@
             return trial::run(settings, stop).await;
         }
         let log = http_log(settings.log_address);
-        let running = RunningNode::start(settings, Arc::new(SystemClock), log)
+        let builder = NodeBuilder::new(settings, Arc::new(SystemClock), log);
+        let running = RunningNode::start(builder)
             .await
             .wrap_err("cannot open a port")?;
         stop.await;
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -93,6 +93,8 @@
     pub claims: ClaimDesk,
     /// Claim streams that this node writes.
     pub keeper: ClaimKeeper,
+    /// How other nodes are connected to.
+    pub addresses: AddressMap,
     /// The socket for datagrams.
     pub udp: UdpSocket,
     /// Probes that wait for their answer.
@@ -125,28 +127,72 @@
     }
 }
 
+/// Maps the address of another node to the one that is connected to.
+///
+/// Nodes know each other by the addresses in their settings. A closure here
+/// stands between the two, so that a test can cut or delay one link of many.
+#[derive(Clone)]
+pub struct AddressMap(Arc<dyn Fn(SocketAddr) -> SocketAddr + Send + Sync>);
+
+impl AddressMap {
+    /// Returns the map that `map` is.
+    pub fn new<F>(map: F) -> Self
+    where
+        F: Fn(SocketAddr) -> SocketAddr + Send + Sync + 'static,
+    {
+        Self(Arc::new(map))
+    }
+
+    /// Returns the map that changes nothing.
+    pub fn identity() -> Self {
+        Self::new(|address| address)
+    }
+
+    /// Returns the address to connect to.
+    pub fn map(&self, address: SocketAddr) -> SocketAddr {
+        (self.0)(address)
+    }
+}
+
+impl std::fmt::Debug for AddressMap {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AddressMap").finish_non_exhaustive()
+    }
+}
+
 /// Collects what a node is made of.
 #[derive(Debug)]
 pub struct NodeBuilder {
     settings: NodeSettings,
     clock: SharedClock,
     log: LogPort,
-    udp: UdpSocket,
+    addresses: AddressMap,
 }
 
 impl NodeBuilder {
     /// Returns a builder.
-    pub fn new(settings: NodeSettings, clock: SharedClock, log: LogPort, udp: UdpSocket) -> Self {
+    pub fn new(settings: NodeSettings, clock: SharedClock, log: LogPort) -> Self {
         Self {
             settings,
             clock,
             log,
-            udp,
+            addresses: AddressMap::identity(),
         }
     }
 
-    /// Returns the node, which runs nothing yet.
-    pub fn build(self) -> NodeHandle {
+    /// Connects to other nodes by way of `addresses`.
+    pub fn addresses(mut self, addresses: AddressMap) -> Self {
+        self.addresses = addresses;
+        self
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &NodeSettings {
+        &self.settings
+    }
+
+    /// Returns the node, which runs only the tasks of its claims.
+    pub fn build(self, udp: UdpSocket) -> NodeHandle {
         let (settings, clock) = (self.settings, self.clock);
         let own = MemberRecord {
             address: settings.peer,
@@ -178,12 +224,13 @@
             limits: RouteLimit::new(),
             ledger: CallLedger::new(Arc::clone(&clock)),
             targets: LocalTargets::new(),
-            hop_pool: LinkPool::to_nodes(settings.keys.clone()),
+            hop_pool: LinkPool::to_nodes(settings.keys.clone(), self.addresses.clone()),
             target_pool: LinkPool::to_targets(),
             log: self.log,
             claims,
             keeper,
-            udp: self.udp,
+            udp,
+            addresses: self.addresses,
             pending: Mutex::default(),
             version: watch::Sender::new(ConfigVersion(0)),
             stage: watch::Sender::new(NodeStage::Starting),
--- a/wisteriaturnd/src/peer_client.rs
+++ b/wisteriaturnd/src/peer_client.rs
@@ -51,7 +51,7 @@
     ///
     /// [`LinkError`] when the node cannot be reached or does not know the key.
     pub async fn open(node: &NodeState, peer: NodeAddress) -> Result<Self, LinkError> {
-        let mut stream = timeout(CONNECT_TIME, TcpStream::connect(peer))
+        let mut stream = timeout(CONNECT_TIME, TcpStream::connect(node.addresses.map(peer)))
             .await?
             .map_err(|error| LinkError::Unreachable(error.to_string()))?;
         stream
--- a/wisteriaturnd/src/pool.rs
+++ b/wisteriaturnd/src/pool.rs
@@ -22,6 +22,7 @@
 use crate::body::NodeBody;
 use crate::error::LinkError;
 use crate::handshake::{self, PortUse};
+use crate::node::AddressMap;
 
 /// Time for a connection to open. A node in another region is 8 ms away; what
 /// takes longer than this is overloaded or cut off.
@@ -60,14 +61,16 @@
 pub struct LinkPool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleLink>>>>,
     keys: Option<MeshKeys>,
+    addresses: AddressMap,
 }
 
 impl LinkPool {
     /// Returns a pool of connections to the hop ports of nodes.
-    pub fn to_nodes(keys: MeshKeys) -> Self {
+    pub fn to_nodes(keys: MeshKeys, addresses: AddressMap) -> Self {
         Self {
             idle: Arc::default(),
             keys: Some(keys),
+            addresses,
         }
     }
 
@@ -76,6 +79,7 @@
         Self {
             idle: Arc::default(),
             keys: None,
+            addresses: AddressMap::identity(),
         }
     }
 
@@ -101,7 +105,9 @@
     }
 
     async fn open_now(&self, address: SocketAddr) -> Result<PooledLink, LinkError> {
-        let mut stream = TcpStream::connect(address).await.map_err(unreachable)?;
+        let mut stream = TcpStream::connect(self.addresses.map(address))
+            .await
+            .map_err(unreachable)?;
         stream.set_nodelay(true).map_err(unreachable)?;
         let life = match &self.keys {
             Some(keys) => handshake::connect(&mut stream, keys, PortUse::Hop).await?,
--- a/wisteriaturnd/src/trial.rs
+++ b/wisteriaturnd/src/trial.rs
@@ -21,6 +21,7 @@
 use crate::exchange::{self, ExchangeError};
 use crate::lifecycle::RunningNode;
 use crate::log_memory::memory_log;
+use crate::node::NodeBuilder;
 use crate::pool::LinkPool;
 use crate::settings::NodeSettings;
 use crate::start;
@@ -62,7 +63,8 @@
     S: Future<Output = ()>,
 {
     let (ingress, admin) = (settings.ingress, settings.admin);
-    let running = RunningNode::start(settings, Arc::new(SystemClock), memory_log()).await?;
+    let builder = NodeBuilder::new(settings, Arc::new(SystemClock), memory_log());
+    let running = RunningNode::start(builder).await?;
     start::wait_ready(&running.node).await;
     let pool = LinkPool::to_targets();
     ask(&pool, admin, Method::POST, "/v1/changes", TRIAL_CHANGE).await?;
