benches: measure the decisions at 170 services and 1,100 nodes

Ruled out: measuring through processes (1,100 do not fit on one machine).

Before: no figures; each call walked the load of all targets of its service to forget old ones. Old targets are now forgotten when the members change.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,146 @@
+//! What the decisions cost at 170 services and 1,100 nodes.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use serde_json::json;
+use wisteriaturn::config::change::{Change, Expectation, Operation};
+use wisteriaturn::config::fold::ConfigState;
+use wisteriaturn::config::resource::{PolicySpec, Resource};
+use wisteriaturn::config::snapshot::{decode_snapshot, encode_snapshot};
+use wisteriaturn::config::view::{ConfigView, ServingView};
+use wisteriaturn::ids::{ChangeId, Incarnation, NodeAddress, Sequence, ServiceName, SlotCount};
+use wisteriaturn::member::record::{MemberRecord, MemberState, TargetRecord, TargetState};
+use wisteriaturn::member::relay::relays;
+use wisteriaturn::member::table::MemberTable;
+use wisteriaturn::peer::message::encode;
+use wisteriaturn::route::choose::{NodePlace, choose_target};
+use wisteriaturn::route::load::ServiceLoad;
+
+const NODES: u16 = 1_100;
+const SERVICES: u16 = 170;
+const PLACES: u16 = 7;
+
+fn service_name(number: u16) -> ServiceName {
+    format!("service-{number}").parse().expect("a name")
+}
+
+fn resource(value: serde_json::Value) -> Resource {
+    serde_json::from_value(value).expect("a resource")
+}
+
+fn change(id: u128, number: u16) -> Vec<u8> {
+    let name = service_name(number);
+    let service = json!({ "kind": "service", "name": name, "permit": ["127.0.0.0/8"] });
+    let route = json!({ "kind": "route", "name": name, "path": format!("/{name}"),
+        "services": [{ "service": name }] });
+    let change = Change {
+        id: ChangeId(id),
+        author: "bench".parse().expect("a name"),
+        operations: vec![
+            Operation::put(resource(service), Expectation::Any),
+            Operation::put(resource(route), Expectation::Any),
+        ],
+    };
+    change.encode().expect("a record").to_vec()
+}
+
+fn full_state() -> ConfigState {
+    let mut state = ConfigState::new();
+    for number in 0..SERVICES {
+        state.fold(&change(number.into(), number));
+    }
+    state
+}
+
+fn member(number: u16) -> MemberRecord {
+    let [high, low] = number.to_be_bytes();
+    let address = NodeAddress::from(([127, 1, high, low], 7083));
+    MemberRecord {
+        address,
+        incarnation: Incarnation(1_700_000_000_000),
+        sequence: Sequence(3),
+        state: MemberState::Alive,
+        region: format!("region-{}", number % 3).parse().expect("a name"),
+        data_centre: format!("place-{}", number % PLACES)
+            .parse()
+            .expect("a name"),
+        hop: address,
+        is_ready: true,
+        targets: vec![TargetRecord {
+            service: service_name(number % SERVICES),
+            address,
+            slots: SlotCount(6),
+            state: TargetState::Serving,
+        }],
+    }
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let now = Instant::now();
+    let state = full_state();
+    let members: Vec<MemberRecord> = (0..NODES).map(member).collect();
+    let mut table = MemberTable::new(members[0].clone(), now);
+    for member in &members {
+        table.merge(member.clone(), now);
+    }
+    let size = encode(&members).expect("a message").len();
+    println!("a full exchange of {NODES} members takes {size} bytes");
+    let snapshot = encode_snapshot(&state).expect("a snapshot");
+    println!(
+        "a snapshot of {SERVICES} services takes {} bytes",
+        snapshot.len()
+    );
+
+    let record = change(1 << 64, 7);
+    criterion.bench_function("fold a change", |bench| {
+        bench.iter_batched(
+            || state.clone(),
+            |mut state| state.fold(&record),
+            criterion::BatchSize::SmallInput,
+        );
+    });
+    criterion.bench_function("build the routes", |bench| {
+        bench.iter(|| ConfigView::try_from(&state).expect("a view"));
+    });
+    let config = Arc::new(ConfigView::try_from(&state).expect("a view"));
+    criterion.bench_function("join the members", |bench| {
+        bench.iter(|| ServingView::build(Arc::clone(&config), &members, |_, _| now));
+    });
+    criterion.bench_function("find a route", |bench| {
+        bench.iter(|| config.find_route("any", "/service-99/tables").is_some());
+    });
+    let view = ServingView::build(Arc::clone(&config), &members, |_, _| now);
+    let name = service_name(7);
+    let (targets, policy) = (view.targets(&name), PolicySpec::default_for(name));
+    let place = NodePlace {
+        region: members[0].region.clone(),
+        data_centre: members[0].data_centre.clone(),
+    };
+    let (mut load, mut rng) = (ServiceLoad::default(), rand::rng());
+    criterion.bench_function("choose a target", |bench| {
+        bench.iter(|| choose_target(&place, &targets, &policy, &mut load, &[], now, &mut rng));
+    });
+    criterion.bench_function("merge a full exchange", |bench| {
+        bench.iter_batched(
+            || (MemberTable::new(members[0].clone(), now), members.clone()),
+            |(mut table, members)| {
+                for member in members {
+                    table.merge(member, now);
+                }
+                table
+            },
+            criterion::BatchSize::SmallInput,
+        );
+    });
+    criterion.bench_function("choose the relays of a data centre", |bench| {
+        bench.iter(|| relays(&table, &members[0].data_centre));
+    });
+    criterion.bench_function("decode a snapshot", |bench| {
+        bench.iter(|| decode_snapshot(&snapshot).expect("a state"));
+    });
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/wisteriaturnd/src/gossip.rs
+++ b/wisteriaturnd/src/gossip.rs
@@ -385,6 +385,12 @@
     loop {
         node.members_changed.notified().await;
         node.publish_view();
+        let view = node.view.load();
+        for service in view.config.services.keys() {
+            let targets = view.targets(service);
+            node.load
+                .with(service, |load| load.retain_targets(&targets));
+        }
         let live = {
             let table = lock(&node.table);
             table.iter().filter(|entry| entry.record.is_live()).count()
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -116,7 +116,6 @@
     };
     let now = node.clock.now();
     let choice = node.load.with(service, |load| {
-        load.retain_targets(&targets);
         choose_target(
             &node.place,
             &targets,
