tests: answers are whole, of the own request, or not at all

Cause: the promise on whole answers had no test of its own.

Ruled out: relying on the randomised run, whose targets never break off an answer.

Before: no test.

--- a/testing/src/bin/target-standin.rs
+++ b/testing/src/bin/target-standin.rs
@@ -12,8 +12,9 @@
 use bytes::Bytes;
 use eyre::{Result, eyre};
 use gumdrop::Options;
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -21,6 +22,7 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Semaphore;
 use wisteriaturn_testing::client;
 
 /// How often the target announces itself.
@@ -47,6 +49,8 @@
     runs: Option<PathBuf>,
 }
 
+type TargetBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
 #[derive(Debug)]
 struct TargetState {
     address: SocketAddr,
@@ -55,6 +59,7 @@
     service: String,
     slots: u16,
     runs: Option<PathBuf>,
+    capacity: Semaphore,
     running: AtomicUsize,
     is_leaving: AtomicBool,
 }
@@ -70,6 +75,7 @@
         service: options.service,
         slots: options.slots,
         runs: options.runs,
+        capacity: Semaphore::new(usize::from(options.slots)),
         running: AtomicUsize::new(0),
         is_leaving: AtomicBool::new(false),
     });
@@ -130,14 +136,14 @@
 async fn serve(
     state: &TargetState,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<TargetBody>, Infallible> {
     state.running.fetch_add(1, Ordering::Relaxed);
     let response = run(state, request).await;
     state.running.fetch_sub(1, Ordering::Relaxed);
     Ok(response)
 }
 
-async fn run(state: &TargetState, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn run(state: &TargetState, request: Request<Incoming>) -> Response<TargetBody> {
     let (parts, body) = request.into_parts();
     note_run(state, &parts.headers);
     if parts.headers.contains_key("x-crash") {
@@ -165,9 +171,14 @@
     };
     let sleep = number("x-sleep-ms");
     if sleep > 0 {
-        // A sleep of 0 would still wait for the next tick of the timer.
+        // A target has the capacity of its slots, whoever calls it; a sleep of
+        // 0 would still wait for the next tick of the timer.
+        let _slot = state.capacity.acquire().await;
         tokio::time::sleep(Duration::from_millis(sleep)).await;
     }
+    if parts.headers.contains_key("x-cut") {
+        return Response::new(cut_body());
+    }
     let status = match parts
         .headers
         .get("x-next")
@@ -193,11 +204,21 @@
             .to_string(),
         )
     };
-    let mut response = Response::new(Full::new(text));
+    let whole = Full::new(text).map_err(|never| match never {});
+    let mut response = Response::new(whole.boxed_unsync());
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
     response
 }
 
+/// Returns a body that breaks off after its first bytes.
+fn cut_body() -> TargetBody {
+    let frames = [
+        Ok(Frame::data(Bytes::from(vec![b'x'; 1_000]))),
+        Err(std::io::Error::other("cut")),
+    ];
+    StreamBody::new(futures_util::stream::iter(frames)).boxed_unsync()
+}
+
 /// Notes the run before it does anything, as a booking would be noted.
 fn note_run(state: &TargetState, headers: &HeaderMap) {
     let id = headers.get("x-run").and_then(|value| value.to_str().ok());
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod hostile_bytes;
 mod inside_cut;
 mod member_table;
+mod process_answers;
 mod process_config;
 mod process_input;
 mod process_once;
--- /dev/null
+++ b/tests/integration/process_answers.rs
@@ -0,0 +1,109 @@
+//! Answers: whole, of the own request, or not at all.
+
+use std::time::Duration;
+
+use eyre::Result;
+use serde_json::json;
+use wisteriaturn_testing::client;
+use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
+
+async fn portal(targets: usize) -> Result<TestCluster> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes: 3,
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster.add_service("portal", json!({})).await?;
+    for index in 0..targets {
+        cluster.start_target(index, "portal", 6)?;
+    }
+    for index in 0..3 {
+        cluster.wait_targets(index, "portal", targets).await?;
+    }
+    Ok(cluster)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_cut_short_never_looks_whole() -> Result<()> {
+    let cluster = portal(1).await?;
+    for ingress in [cluster.ingress(0), cluster.ingress(2)] {
+        let read = client::send(ingress, "GET", "/portal", &[("x-cut", "1")], b"").await;
+        assert!(read.is_err(), "{read:?}");
+        // An answer that the gate holds until it is whole is replaced.
+        let write = client::send(ingress, "POST", "/portal", &[("x-cut", "1")], b"").await?;
+        assert_eq!((write.status, write.outcome()), (502, "unknown"));
+    }
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answers_reach_no_other_request() -> Result<()> {
+    let cluster = portal(2).await?;
+    let mut calls = Vec::new();
+    for number in 0..200 {
+        let ingress = cluster.ingress(number % 3);
+        calls.push(tokio::spawn(async move {
+            let id = format!("late-{number}");
+            let sleep = (number * 7 % 60).to_string();
+            // Half of the calls are given up before their answer comes.
+            let deadline = if number % 2 == 0 { "20" } else { "9000" };
+            let headers = [
+                ("x-run", id.as_str()),
+                ("x-sleep-ms", sleep.as_str()),
+                ("wisteriaturn-deadline-ms", deadline),
+            ];
+            let method = if number % 4 < 2 { "GET" } else { "POST" };
+            let call = client::send(ingress, method, "/portal", &headers, b"");
+            let given_up = Duration::from_millis(if number % 5 == 0 { 15 } else { 20_000 });
+            let reply = tokio::time::timeout(given_up, call).await;
+            (id, reply)
+        }));
+    }
+    let mut done = 0;
+    for call in calls {
+        let (id, reply) = call.await?;
+        let Ok(reply) = reply else {
+            continue;
+        };
+        let reply = reply?;
+        if reply.outcome() == "done" {
+            assert_eq!(reply.json()["id"], json!(id));
+            done += 1;
+        }
+    }
+    assert!(done > 0);
+    cluster.remove_folder();
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_leaves_gets_no_new_call() -> Result<()> {
+    let mut cluster = portal(2).await?;
+    let ingress = cluster.ingress(0);
+    let held = tokio::spawn(async move {
+        let headers = [("x-sleep-ms", "2000"), ("x-run", "held")];
+        client::send(ingress, "POST", "/portal", &headers, b"").await
+    });
+    cluster
+        .wait("the call to run", async || {
+            cluster.runs().contains_key("held")
+        })
+        .await?;
+    // The node beside it prefers no target over the other, so find the one.
+    let reply = client::get(cluster.admin(0), "/v1/status").await?;
+    let leaving = usize::from(reply.json()["calls_at_gate"] == json!(0));
+    cluster.target_process(leaving).signal("TERM");
+    cluster.wait_targets(2, "portal", 1).await?;
+    cluster.wait_targets(0, "portal", 1).await?;
+    let other = cluster.target(1 - leaving).to_string();
+    for number in 0..60 {
+        let reply = client::get(cluster.ingress(number % 3), "/portal").await?;
+        assert_eq!(reply.outcome(), "done", "{}", reply.text());
+        assert_eq!(reply.json()["target"], json!(other));
+    }
+    assert_eq!(held.await??.outcome(), "done", "the call in flight ends");
+    assert_eq!(cluster.target_process(leaving).wait().await?, 0);
+    cluster.remove_folder();
+    Ok(())
+}
