ingress: never call a call not-run after an attempt that may have run

Cause: an idempotent call whose first attempt ended as unknown was tried again; when no other target was left, or the next gate refused, the caller was told what the last attempt said, 'not-run', although the first may have run. The same held for calls with a key after a lost gate.

Ruled out: the gate (its answer to the first attempt was unknown, target-lost), a race of the test with the announcement (the target was known to all nodes).

Conclusion: a doubt now stays with the call; only an answer of a target ends it. The randomised runs could not see this: their retried reads leave no count, and their keyed calls rarely met two failures in one call.

--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -16,6 +16,7 @@
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::quarantine::RequestStanding;
 use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, NodeAddress};
+use wisteriaturn::retry::budget::RetryBudget;
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::route::choose::{TargetChoice, choose_target};
 use wisteriaturn::route::load::AttemptResult;
@@ -68,21 +69,37 @@
     let budget = node.budget(&call.service.spec.name);
     budget.note_call(call.service.spec.retry_percent);
     let mut tried = Vec::new();
+    // The answer to an attempt that may have run: from then on the call as a
+    // whole is no longer `not-run`, whatever becomes of later attempts.
+    let mut doubt = None;
     loop {
         let Some(target) = choose(node, &call, &tried) else {
-            return refusal(CallOutcome::NotRun, RefusalReason::NoTarget);
+            let none = refusal(CallOutcome::NotRun, RefusalReason::NoTarget);
+            return doubt.unwrap_or(none);
         };
         tried.push(target.node);
         let end = attempt(node, &mut call, &target, tried.len()).await;
-        if !may_follow(node, &call, &end, tried.len()) {
-            return end.response;
+        let has_budget = may_follow(node, &call, &end, tried.len()) && take_retry(node, &budget);
+        match end.outcome {
+            CallOutcome::Done => return end.response,
+            CallOutcome::Unknown => doubt = Some(end.response),
+            CallOutcome::NotRun if has_budget => {}
+            CallOutcome::NotRun => return doubt.unwrap_or(end.response),
         }
-        if !budget.try_take() {
-            node.metrics.retries_refused.inc();
-            return end.response;
+        if !has_budget && let Some(doubt) = doubt {
+            return doubt;
         }
+    }
+}
+
+fn take_retry(node: &NodeHandle, budget: &RetryBudget) -> bool {
+    let is_taken = budget.try_take();
+    if is_taken {
         node.metrics.retries.inc();
+    } else {
+        node.metrics.retries_refused.inc();
     }
+    is_taken
 }
 
 /// Tells whether another attempt may follow one that ended so.
