--- a/testing/src/bin/experiment.rs
+++ b/testing/src/bin/experiment.rs
@@ -5,7 +5,7 @@
 
 use eyre::Result;
 use gumdrop::Options;
-use wisteriaturn_testing::experiment::{chaos, latency, spread};
+use wisteriaturn_testing::experiment::{chaos, latency, overload, spread};
 
 #[derive(Debug, Options)]
 struct ExperimentOptions {
@@ -23,6 +23,8 @@
     Spread(spread::SpreadOptions),
     #[options(help = "time that the mesh adds to a call")]
     Latency(latency::LatencyOptions),
+    #[options(help = "useful answers under overload, with and without the mesh")]
+    Overload(overload::OverloadOptions),
 }
 
 #[tokio::main]
@@ -43,6 +45,7 @@
         Some(ExperimentCommand::Chaos(options)) => chaos::run(options).await,
         Some(ExperimentCommand::Spread(options)) => spread::run(options).await,
         Some(ExperimentCommand::Latency(options)) => latency::run(options).await,
+        Some(ExperimentCommand::Overload(options)) => overload::run(options).await,
         None => {
             println!("{}", ExperimentOptions::usage());
             Ok(false)
--- a/testing/src/bin/target-standin.rs
+++ b/testing/src/bin/target-standin.rs
@@ -59,7 +59,7 @@
     service: String,
     slots: u16,
     runs: Option<PathBuf>,
-    capacity: Semaphore,
+    capacity: Arc<Semaphore>,
     running: AtomicUsize,
     is_leaving: AtomicBool,
 }
@@ -75,7 +75,7 @@
         service: options.service,
         slots: options.slots,
         runs: options.runs,
-        capacity: Semaphore::new(usize::from(options.slots)),
+        capacity: Arc::new(Semaphore::new(usize::from(options.slots))),
         running: AtomicUsize::new(0),
         is_leaving: AtomicBool::new(false),
     });
@@ -171,10 +171,15 @@
     };
     let sleep = number("x-sleep-ms");
     if sleep > 0 {
-        // A target has the capacity of its slots, whoever calls it; a sleep of
-        // 0 would still wait for the next tick of the timer.
-        let _slot = state.capacity.acquire().await;
-        tokio::time::sleep(Duration::from_millis(sleep)).await;
+        // A target has the capacity of its slots, whoever calls it, and does
+        // not notice that a caller left. A sleep of 0 would still wait for the
+        // next tick of the timer.
+        let capacity = Arc::clone(&state.capacity);
+        let work = async move {
+            let _slot = capacity.acquire().await;
+            tokio::time::sleep(Duration::from_millis(sleep)).await;
+        };
+        let _ = tokio::spawn(work).await;
     }
     if parts.headers.contains_key("x-cut") {
         return Response::new(cut_body());
--- a/testing/src/experiment/callers.rs
+++ b/testing/src/experiment/callers.rs
@@ -18,7 +18,7 @@
 pub struct CallerLog {
     /// Calls by kind, last outcome and reason.
     pub outcomes: Mutex<HashMap<(&'static str, String, String), u64>>,
-    /// Last outcomes of calls that must run at most once, by run id.
+    /// What was told of each call, by run id.
     pub told: Mutex<HashMap<String, Vec<String>>>,
     /// Answers that belonged to another request.
     pub crossed: AtomicU64,
@@ -77,10 +77,9 @@
             }
             Err(error) => cut_or_refused(log, index, error),
         };
-        if kind != "read" {
-            let mut told = log.told.lock().expect("no panic");
-            told.entry(id.to_owned()).or_default().push(outcome.clone());
-        }
+        let mut told = log.told.lock().expect("no panic");
+        told.entry(id.to_owned()).or_default().push(outcome.clone());
+        drop(told);
         let is_last = outcome == "done" || send == sends;
         if is_last {
             let mut outcomes = log.outcomes.lock().expect("no panic");
--- a/testing/src/experiment/mod.rs
+++ b/testing/src/experiment/mod.rs
@@ -5,4 +5,5 @@
 pub mod faults;
 pub mod latency;
 pub mod observer;
+pub mod overload;
 pub mod spread;
