--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -10,7 +10,10 @@
 use wisteriaturn::config::resource::{PolicySpec, Resource};
 use wisteriaturn::config::snapshot::{decode_snapshot, encode_snapshot};
 use wisteriaturn::config::view::{ConfigView, ServingView};
-use wisteriaturn::ids::{ChangeId, Incarnation, NodeAddress, Sequence, ServiceName, SlotCount};
+use wisteriaturn::gate::claim::{ClaimBatch, ClaimFold, ClaimHolder, ClaimItem, KEY_LIMIT};
+use wisteriaturn::ids::{
+    CallId, ChangeId, Incarnation, KeyHash, LifeId, NodeAddress, Sequence, ServiceName, SlotCount,
+};
 use wisteriaturn::member::record::{MemberRecord, MemberState, TargetRecord, TargetState};
 use wisteriaturn::member::relay::relays;
 use wisteriaturn::member::table::MemberTable;
@@ -77,6 +80,42 @@
     }
 }
 
+/// Returns a claim stream with as many live keys as a keeper holds.
+fn many_claims() -> ClaimFold {
+    let mut fold = ClaimFold::default();
+    for first in (0..KEY_LIMIT as u128).step_by(1_000) {
+        let claim = |key| ClaimItem::Claim {
+            key: KeyHash(key),
+            holder: ClaimHolder {
+                run: CallId(key),
+                hop: NodeAddress::from(([127, 0, 0, 1], 7082)),
+                life: LifeId(1),
+            },
+        };
+        let batch = ClaimBatch {
+            id: CallId(first),
+            wall_ms: 0,
+            lifetime_ms: 900_000,
+            items: (first..first + 1_000).map(claim).collect(),
+        };
+        let record = batch.encode().expect("a record");
+        if first == 0 {
+            println!("a batch of 1000 claims takes {} bytes", record.len());
+        }
+        fold.fold(&record);
+    }
+    fold
+}
+
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|text| text.trim().trim_end_matches(" kB").parse().ok())
+        .unwrap_or_default()
+}
+
 fn decisions(criterion: &mut Criterion) {
     let now = Instant::now();
     let state = full_state();
@@ -93,6 +132,15 @@
         snapshot.len()
     );
 
+    let before = resident_kb();
+    let fold = many_claims();
+    println!(
+        "{} live keys take {} kB",
+        fold.len(),
+        resident_kb() - before
+    );
+    drop(fold);
+
     let record = change(1 << 64, 7);
     criterion.bench_function("fold a change", |bench| {
         bench.iter_batched(
--- a/src/gate/claim.rs
+++ b/src/gate/claim.rs
@@ -174,11 +174,12 @@
         self.keys.get(&key).map(|held| &held.holder)
     }
 
-    /// Drops keys that no later record can meet alive. Writers' clocks may
-    /// differ, so keys stay for `slack` beyond their time.
-    pub fn forget_expired(&mut self, slack: Duration) {
+    /// Drops keys that no later record can meet alive: by the newest record,
+    /// or by the reader's wall time `now_ms` when nobody writes. Writers' clocks
+    /// may differ, so keys stay for `slack` beyond their time.
+    pub fn forget_expired(&mut self, now_ms: u64, slack: Duration) {
         let slack_ms = u64::try_from(slack.as_millis()).unwrap_or(u64::MAX);
-        let newest_ms = self.newest_ms;
+        let newest_ms = self.newest_ms.max(now_ms);
         self.keys
             .retain(|_, held| held.expires_ms.saturating_add(slack_ms) > newest_ms);
     }
--- a/testing/src/experiment/overload.rs
+++ b/testing/src/experiment/overload.rs
@@ -58,8 +58,8 @@
         for (name, addresses) in [("straight", &straight), ("mesh", &mesh)] {
             let time = Duration::from_secs(options.seconds);
             offer(name, addresses, capacity * factor, time).await?;
-            // What a part left behind in the targets must not meet the next.
-            tokio::time::sleep(Duration::from_secs(4)).await;
+            // Work that a part left behind in the targets must not meet the next.
+            tokio::time::sleep(time.mul_f64(factor)).await;
         }
     }
     cluster.remove_folder();
--- a/testing/src/lib.rs
+++ b/testing/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod experiment;
 pub mod forwarder;
 pub mod metrics;
+pub mod plan;
 pub mod process;
--- a/tests/integration/gate_rules.rs
+++ b/tests/integration/gate_rules.rs
@@ -254,6 +254,17 @@
     assert_eq!(fold.next().0, 8);
 }
 
+#[test]
+fn a_key_is_forgotten_when_no_record_can_meet_it_alive() {
+    let slack = Duration::from_millis(100);
+    let mut fold = ClaimFold::default();
+    fold.fold(&batch(1, 0, vec![claim(7, 1)]));
+    fold.forget_expired(1_099, slack);
+    assert_eq!(fold.len(), 1);
+    fold.forget_expired(1_100, slack);
+    assert!(fold.is_empty());
+}
+
 proptest! {
     #[test]
     fn two_keepers_never_both_win_a_key(
--- a/wisteriaturnd/src/gate/mod.rs
+++ b/wisteriaturnd/src/gate/mod.rs
@@ -2,5 +2,6 @@
 //! the run of one call.
 
 pub mod answer;
+pub mod crash;
 pub mod port;
 pub mod run;
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -6,13 +6,10 @@
 //! task of its own: a cut link must not end it half way, and its answer is
 //! kept for a node that asks.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use tokio::io::AsyncReadExt;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout_at;
 use wisteriaturn::clock::lock;
 use wisteriaturn::gate::claim::{ClaimHolder, ClaimVerdict};
 use wisteriaturn::gate::ledger::{BODY_LIMIT, CallEnd, CallTicket, KeptAnswer};
@@ -20,24 +17,20 @@
 use wisteriaturn::gate::quarantine::RequestStanding;
 use wisteriaturn::gate::slots::SlotPermit;
 use wisteriaturn::ids::KeyHash;
-use wisteriaturn::member::rumor::Rumor;
 use wisteriaturn::peer::message::InquiryAnswer;
 
 use crate::body::{BodyEnd, GuardedBody, NodeBody, RequestBody, boxed};
 use crate::error::LinkError;
 use crate::exchange::{self, ExchangeError, pooled_body};
 use crate::gate::answer::{inquiry_response, kept_response, refusal};
+use crate::gate::crash::{check_crash, note_end};
 use crate::gate::port;
-use crate::gossip;
 use crate::headers;
 use crate::hop::{self, ASK_INQUIRE, GateCall};
 use crate::node::{NodeHandle, NodeStage};
 use crate::pool::PooledLink;
 use crate::targets::{self, LocalTarget};
 
-/// Time to see whether a target's process is gone after an exchange was lost.
-const CRASH_CHECK_TIME: Duration = Duration::from_millis(200);
-
 /// What a run holds of its target.
 struct AdmittedRun {
     permit: SlotPermit,
@@ -332,73 +325,6 @@
     response
 }
 
-fn note_end(node: NodeHandle, call: &GateCall, address: std::net::SocketAddr, end: BodyEnd) {
-    let fingerprint = call.fingerprint;
-    match end {
-        BodyEnd::Whole => {
-            let is_cleared = lock(&node.suspects).note_success(fingerprint);
-            if is_cleared {
-                tokio::spawn(async move {
-                    gossip::spread(&node, Rumor::Cleared { fingerprint }).await;
-                });
-            }
-        }
-        BodyEnd::Failed => {
-            let call = call.clone();
-            tokio::spawn(async move {
-                check_crash(&node, &call, address).await;
-            });
-        }
-        BodyEnd::Dropped => {}
-    }
-}
-
-/// Tells whether the process at an address is gone. One that is just ending may
-/// still take a connection, but not keep it.
-async fn is_gone(address: std::net::SocketAddr) -> bool {
-    let connecting = tokio::net::TcpStream::connect(address);
-    let Ok(Ok(mut stream)) = timeout(CRASH_CHECK_TIME, connecting).await else {
-        return true;
-    };
-    let mut byte = [0];
-    // A live target waits for a request, so only a closed connection is read.
-    timeout(CRASH_CHECK_TIME, stream.read(&mut byte))
-        .await
-        .is_ok()
-}
-
-/// Looks whether the target's process is gone, and if so holds that against
-/// the request and withdraws the target. Returns whether the request is suspect.
-async fn check_crash(node: &NodeHandle, call: &GateCall, address: std::net::SocketAddr) -> bool {
-    if !is_gone(address).await {
-        return false;
-    }
-    node.metrics.target_losses.inc();
-    node.target_pool.forget(address);
-    // It announces itself again when it is back.
-    targets::withdraw(node, &call.service).await;
-    let fingerprint = call.fingerprint;
-    let now = node.clock.now();
-    let loss = node.next_loss();
-    let is_new = {
-        let mut suspects = lock(&node.suspects);
-        if suspects.has_succeeded(fingerprint) {
-            return false;
-        }
-        suspects.note_loss(fingerprint, node.address(), loss, now)
-    };
-    log::warn!(event = "suspect", fingerprint:% = fingerprint, target:% = address; "gate");
-    if is_new {
-        let rumor = Rumor::Suspect {
-            fingerprint,
-            node: node.address(),
-            loss,
-        };
-        gossip::spread(node, rumor).await;
-    }
-    true
-}
-
 async fn claim(node: &NodeHandle, call: &GateCall, key: KeyHash) -> ClaimVerdict {
     let holder = ClaimHolder {
         run: call.call,
--- a/wisteriaturnd/src/keeper.rs
+++ b/wisteriaturnd/src/keeper.rs
@@ -34,6 +34,9 @@
 /// How long expired keys are still held, since writers' clocks differ.
 const CLOCK_SLACK: Duration = Duration::from_secs(60);
 
+/// Time between two sweeps of expired keys.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+
 #[derive(Debug)]
 struct QueuedDemand {
     items: Vec<ClaimItem>,
@@ -89,6 +92,7 @@
                 node: node.clone(),
                 name: stream_name(stream),
                 fold: None,
+                swept: None,
             };
             tokio::spawn(keeper.run(queue));
         }
@@ -100,6 +104,7 @@
     node: NodeHandle,
     name: String,
     fold: Option<ClaimFold>,
+    swept: Option<Instant>,
 }
 
 impl StreamKeeper {
@@ -141,6 +146,8 @@
     /// Appends a batch and folds the stream up to it.
     async fn decide(&mut self, items: Vec<ClaimItem>) -> Result<Vec<ClaimVerdict>, LogError> {
         self.catch_up().await?;
+        self.check_room(items.len())?;
+        self.sweep();
         let batch = ClaimBatch {
             id: CallId(rand::random()),
             wall_ms: self.node.clock.wall_millis(),
@@ -166,6 +173,20 @@
         }
     }
 
+    /// Forgets expired keys now and then; looking at all of them on each batch
+    /// would cost more than they do.
+    fn sweep(&mut self) {
+        let now = self.node.clock.now();
+        let is_due = self
+            .swept
+            .is_none_or(|when| now.duration_since(when) >= SWEEP_INTERVAL);
+        if is_due {
+            self.swept = Some(now);
+            let now_ms = self.node.clock.wall_millis();
+            self.fold().forget_expired(now_ms, CLOCK_SLACK);
+        }
+    }
+
     /// Reads the stream to its end, from its first record at the first time.
     async fn catch_up(&mut self) -> Result<(), LogError> {
         if self.fold.is_some() {
@@ -189,10 +210,7 @@
         loop {
             let fold = self.fold();
             if fold.next() == offset {
-                let verdicts = fold.fold(record);
-                fold.forget_expired(CLOCK_SLACK);
-                self.check_size();
-                return Ok(verdicts);
+                return Ok(fold.fold(record));
             }
             let from = fold.next();
             let limit = usize::try_from(offset.0.saturating_sub(from.0)).unwrap_or(READ_LIMIT);
@@ -252,20 +270,26 @@
                 return Ok((Some(verdicts), false));
             }
         }
-        let is_end = fold.next() >= batch.next;
-        fold.forget_expired(CLOCK_SLACK);
-        Ok((None, is_end))
+        Ok((None, fold.next() >= batch.next))
     }
 
     fn fold(&mut self) -> &mut ClaimFold {
         self.fold.get_or_insert_with(ClaimFold::default)
     }
 
-    fn check_size(&mut self) {
-        if self.fold().len() > KEY_LIMIT {
-            self.node.metrics.note_drop("claim-keys-over-limit");
-            log::error!(event = "claim-keys-over-limit", stream = self.name; "claim");
+    /// Makes room for new keys, or refuses them: a keeper's memory is bounded,
+    /// and a call whose key is not claimed is truthfully `not-run`.
+    fn check_room(&mut self, items: usize) -> Result<(), LogError> {
+        if self.fold().len() + items <= KEY_LIMIT {
+            return Ok(());
+        }
+        let now_ms = self.node.clock.wall_millis();
+        self.fold().forget_expired(now_ms, CLOCK_SLACK);
+        if self.fold().len() + items <= KEY_LIMIT {
+            return Ok(());
         }
+        self.node.metrics.note_drop("claim-keys-over-limit");
+        Err(LogError::Refused("too many live keys".to_owned()))
     }
 }
 
--- a/wisteriaturnd/src/prober.rs
+++ b/wisteriaturnd/src/prober.rs
@@ -24,9 +24,17 @@
 /// Least time between two comparisons.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(5);
 
+/// How long a node counts as young. In a herd of restarts it missed the news of
+/// all that came up before it listened, and compares at the first mismatch.
+const YOUNG_TIME: Duration = Duration::from_secs(30);
+
+/// Least time between two comparisons of a young node.
+const YOUNG_INTERVAL: Duration = Duration::from_secs(1);
+
 #[derive(Debug)]
 struct ProberState {
     round: ProbeRound,
+    started: Instant,
     mismatches: u32,
     compared: Option<Instant>,
     was_relay: Option<bool>,
@@ -37,6 +45,7 @@
     let interval = node.settings.tuning.probe_interval;
     let mut state = ProberState {
         round: ProbeRound::new(),
+        started: node.clock.now(),
         mismatches: 0,
         compared: None,
         was_relay: None,
@@ -119,10 +128,16 @@
     }
     state.mismatches += 1;
     let now = node.clock.now();
+    let is_young = now.duration_since(state.started) < YOUNG_TIME;
+    let (needed, interval) = if is_young {
+        (1, YOUNG_INTERVAL)
+    } else {
+        (MISMATCHES_TO_COMPARE, COMPARE_INTERVAL)
+    };
     let is_recent = state
         .compared
-        .is_some_and(|when| now.duration_since(when) < COMPARE_INTERVAL);
-    if state.mismatches >= MISMATCHES_TO_COMPARE && !is_recent {
+        .is_some_and(|when| now.duration_since(when) < interval);
+    if state.mismatches >= needed && !is_recent {
         state.mismatches = 0;
         state.compared = Some(now);
         peer_client::spawn_compare(node, peer);
--- a/wisteriaturnd/src/settings.rs
+++ b/wisteriaturnd/src/settings/mod.rs
@@ -1,9 +1,9 @@
 //! The settings of a node, read from a TOML file.
 //!
-//! Reading takes two steps: [`RawSettings`] has the shape of the file, and
+//! Reading takes two steps: [`raw::RawSettings`] has the shape of the file, and
 //! `TryFrom` turns it into [`NodeSettings`], in which every value was checked.
 //! An unknown key is an error, since a misspelt one would silently leave a
-//! default in force. [docs/SETTINGS.md](../../docs/SETTINGS.md) lists all keys.
+//! default in force. [docs/SETTINGS.md](../../../docs/SETTINGS.md) lists all keys.
 
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -12,104 +12,17 @@
 use std::time::Duration;
 
 use log::LevelFilter;
-use serde::Deserialize;
 use wisteriaturn::ids::{DataCentre, RegionName};
 use wisteriaturn::peer::auth::MeshKeys;
 
 use crate::error::SettingsError;
+use crate::settings::raw::{RawLog, RawSettings, RawTuning};
+
+pub mod raw;
 
 /// Shortest secret from which a mesh key is derived, in bytes.
 pub const LEAST_SECRET: usize = 16;
 
-/// The settings file as written.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct RawSettings {
-    /// Region of the VM.
-    pub region: String,
-    /// Data centre of the VM.
-    pub data_centre: String,
-    /// Addresses that the node listens on.
-    pub listen: RawListen,
-    /// Peer addresses of some other nodes.
-    #[serde(default)]
-    pub seeds: Vec<String>,
-    /// Secrets of the mesh; the first signs.
-    pub mesh_secrets: Vec<String>,
-    /// Token that writes through the resource API must bear.
-    #[serde(default)]
-    pub admin_token: Option<String>,
-    /// The platform's log.
-    pub log: RawLog,
-    /// Times and bounds.
-    #[serde(default)]
-    pub tuning: RawTuning,
-    /// Level of the log lines.
-    #[serde(default)]
-    pub log_level: Option<String>,
-    /// Whether a broken invariant ends the process.
-    #[serde(default)]
-    pub strict: bool,
-}
-
-/// Addresses as written.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct RawListen {
-    /// Where callers connect.
-    pub ingress: String,
-    /// Where operators, targets and metrics readers connect.
-    pub admin: String,
-    /// Where other nodes send calls.
-    pub hop: String,
-    /// Where other nodes send messages, UDP and TCP.
-    pub peer: String,
-}
-
-/// The log as written.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct RawLog {
-    /// Address of the log service.
-    pub address: String,
-    /// Data centre in which it stands.
-    #[serde(default)]
-    pub data_centre: Option<String>,
-    /// How long it keeps records, in seconds.
-    #[serde(default)]
-    pub retention_s: Option<u64>,
-}
-
-/// Times and bounds as written; all are optional.
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct RawTuning {
-    /// Time between two probes, in milliseconds.
-    pub probe_interval_ms: Option<u64>,
-    /// Time for the answer to a probe, in milliseconds.
-    pub probe_timeout_ms: Option<u64>,
-    /// Time that a suspect has to refute, in milliseconds.
-    pub suspect_timeout_ms: Option<u64>,
-    /// Nodes to which news is pushed.
-    pub fanout: Option<u64>,
-    /// Time that a planned stop waits for calls in flight, in milliseconds.
-    pub drain_timeout_ms: Option<u64>,
-    /// Time that an announcement of a target lasts, in milliseconds.
-    pub announce_ttl_ms: Option<u64>,
-    /// Connections from callers that are open at once.
-    pub max_connections: Option<u64>,
-    /// Bytes of a request body kept so that it can be sent again.
-    pub replay_bytes: Option<u64>,
-    /// Bytes of one request body at most.
-    pub max_body_bytes: Option<u64>,
-    /// How long an idempotency key is remembered, in seconds.
-    pub key_lifetime_s: Option<u64>,
-    /// Least time between two appends of claims to one stream, in milliseconds.
-    pub claim_interval_ms: Option<u64>,
-    /// Records after which a relay writes a snapshot.
-    pub snapshot_every: Option<u64>,
-}
-
 /// Checked settings.
 #[derive(Debug, Clone)]
 pub struct NodeSettings {
