daemon: take all times from the clock and enforce the bound of connections

Cause: reading as a newcomer found that max_connections of a service was written and read but bound nothing, that the pool and the keeper took their time from the system and not from the clock, and that gossip held two jobs.

Ruled out: a counter of connections in the pool; each call that runs has a connection of its own and takes an idle one first, so slots bound them.

Before: a target could announce more slots than its service allows connections. After: 422 with what is allowed; the new case failed before the check. News has a module apart from datagrams. The whole suite passed.

Conclusion: behaviour is otherwise as it was.

--- a/src/config/view.rs
+++ b/src/config/view.rs
@@ -240,7 +240,11 @@
                     incarnation: member.incarnation,
                     region: member.region.clone(),
                     data_centre: member.data_centre.clone(),
-                    slots: target.slots.0.min(service.spec.max_slots.0),
+                    slots: target
+                        .slots
+                        .0
+                        .min(service.spec.max_slots.0)
+                        .min(service.spec.max_connections),
                     since: seen(member, &target.service),
                     is_suspect: member.state == MemberState::Suspect,
                 };
--- a/tests/integration/process_input.rs
+++ b/tests/integration/process_input.rs
@@ -149,6 +149,12 @@
     );
     let (status, text) = announce("closed", "10.0.0.1:9", 5).await?;
     assert!(status == 422 && text.contains("1 to 4"), "{status} {text}");
+    let operations = json!([{ "put": { "kind": "service", "name": "narrow",
+        "permit": ["127.0.0.0/8"], "max_connections": 3 } }]);
+    let version = cluster.apply_accepted(0, operations).await?;
+    cluster.wait_version(version).await?;
+    let (status, text) = announce("narrow", "127.0.0.1:9", 4).await?;
+    assert!(status == 422 && text.contains("1 to 3"), "{status} {text}");
     let unknown = r#"{"service":"portal","address":"127.0.0.1:9","slots":1,"wheels":4}"#;
     let reply = client::post(cluster.admin(1), "/v1/targets", unknown).await?;
     assert!(
--- a/wisteriaturnd/src/gate/crash.rs
+++ b/wisteriaturnd/src/gate/crash.rs
@@ -10,8 +10,8 @@
 use wisteriaturn::member::rumor::Rumor;
 
 use crate::body::BodyEnd;
-use crate::gossip;
 use crate::hop::GateCall;
+use crate::news;
 use crate::node::NodeHandle;
 use crate::targets;
 
@@ -26,7 +26,7 @@
             let is_cleared = lock(&node.suspects).note_success(fingerprint);
             if is_cleared {
                 tokio::spawn(async move {
-                    gossip::spread(&node, Rumor::Cleared { fingerprint }).await;
+                    news::spread(&node, Rumor::Cleared { fingerprint }).await;
                 });
             }
         }
@@ -81,7 +81,7 @@
             node: node.address(),
             loss,
         };
-        gossip::spread(node, rumor).await;
+        news::spread(node, rumor).await;
     }
     true
 }
--- a/wisteriaturnd/src/keeper.rs
+++ b/wisteriaturnd/src/keeper.rs
@@ -113,11 +113,11 @@
         let mut last = None;
         while let Some(first) = queue.recv().await {
             if let Some(last) = last {
-                let wait = interval.saturating_sub(Instant::now().duration_since(last));
-                tokio::time::sleep(wait).await;
+                let waited = self.node.clock.now().duration_since(last);
+                tokio::time::sleep(interval.saturating_sub(waited)).await;
             }
             let demands = gather(first, &mut queue);
-            last = Some(Instant::now());
+            last = Some(self.node.clock.now());
             self.write(demands).await;
         }
     }
@@ -157,11 +157,11 @@
         let record = batch
             .encode()
             .map_err(|error| LogError::Refused(error.to_string()))?;
-        let until = Instant::now() + BATCH_TIME;
+        let until = self.node.clock.now() + BATCH_TIME;
         loop {
             match self.node.log.append(&self.name, record.clone()).await {
                 Ok(offset) => return self.fold_up_to(offset, &record).await,
-                Err(error) if Instant::now() >= until => return Err(error),
+                Err(error) if self.node.clock.now() >= until => return Err(error),
                 Err(LogError::Lost(_)) => {
                     if let Ok(Some(verdicts)) = self.find_own(batch.id).await {
                         return Ok(verdicts);
--- a/wisteriaturnd/src/lib.rs
+++ b/wisteriaturnd/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod log_memory;
 pub mod logs;
 pub mod metrics;
+pub mod news;
 pub mod node;
 pub mod peer_client;
 pub mod peer_server;
--- a/wisteriaturnd/src/lifecycle.rs
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -15,6 +15,7 @@
 use crate::gate;
 use crate::gossip;
 use crate::ingress;
+use crate::news;
 use crate::node::{NodeBuilder, NodeHandle, NodeStage};
 use crate::peer_server;
 use crate::prober;
@@ -95,7 +96,7 @@
             let mut table = lock(&node.table);
             table.update_own(node.clock.now(), |own| own.state = MemberState::Left)
         };
-        gossip::spread_own(node, record).await;
+        news::spread_own(node, record).await;
         log::info!(event = "stopped"; "node");
         log::logger().flush();
     }
--- a/wisteriaturnd/src/log_http.rs
+++ b/wisteriaturnd/src/log_http.rs
@@ -14,6 +14,7 @@
 use hyper::{Method, Request, StatusCode};
 use serde::Deserialize;
 use tokio::time::timeout;
+use wisteriaturn::clock::SharedClock;
 use wisteriaturn::error::LogError;
 use wisteriaturn::ids::Offset;
 use wisteriaturn::log_port::{LogBatch, LogPort, LogRecord, ReadRequest};
@@ -58,10 +59,10 @@
 }
 
 /// Returns a port to the log service at `address`.
-pub fn http_log(address: SocketAddr) -> LogPort {
+pub fn http_log(address: SocketAddr, clock: SharedClock) -> LogPort {
     let service = HttpLog {
         address,
-        pool: LinkPool::to_targets(),
+        pool: LinkPool::to_targets(clock),
     };
     let reader = service.clone();
     LogPort::new(
--- a/wisteriaturnd/src/main.rs
+++ b/wisteriaturnd/src/main.rs
@@ -80,7 +80,7 @@
         if is_trial {
             return trial::run(settings, stop).await;
         }
-        let log = http_log(settings.log_address);
+        let log = http_log(settings.log_address, Arc::new(SystemClock));
         let builder = NodeBuilder::new(settings, Arc::new(SystemClock), log);
         let running = RunningNode::start(builder)
             .await
--- a/wisteriaturnd/src/peer_server.rs
+++ b/wisteriaturnd/src/peer_server.rs
@@ -21,6 +21,7 @@
 use crate::handshake::{self, PortUse};
 use crate::hop;
 use crate::metrics::TrafficKind;
+use crate::news;
 use crate::node::{NodeHandle, NodeStage};
 use crate::peer_client::{framing, merge_records, records_in};
 
@@ -165,7 +166,7 @@
     if record.incarnation > seen_incarnation {
         lock(&node.table).merge(record.clone(), node.clock.now());
         node.members_changed.notify_one();
-        gossip::spread(node, wisteriaturn::member::rumor::Rumor::Member(record)).await;
+        news::spread(node, wisteriaturn::member::rumor::Rumor::Member(record)).await;
     }
     PeerAnswer::Joined {
         records: records_in(node, &differing(node, digests)),
--- a/wisteriaturnd/src/pool.rs
+++ b/wisteriaturnd/src/pool.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use wisteriaturn::clock::lock;
+use wisteriaturn::clock::{SharedClock, lock};
 use wisteriaturn::ids::LifeId;
 use wisteriaturn::peer::auth::MeshKeys;
 
@@ -62,24 +62,27 @@
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleLink>>>>,
     keys: Option<MeshKeys>,
     addresses: AddressMap,
+    clock: SharedClock,
 }
 
 impl LinkPool {
     /// Returns a pool of connections to the hop ports of nodes.
-    pub fn to_nodes(keys: MeshKeys, addresses: AddressMap) -> Self {
+    pub fn to_nodes(keys: MeshKeys, addresses: AddressMap, clock: SharedClock) -> Self {
         Self {
             idle: Arc::default(),
             keys: Some(keys),
             addresses,
+            clock,
         }
     }
 
     /// Returns a pool of connections to targets.
-    pub fn to_targets() -> Self {
+    pub fn to_targets(clock: SharedClock) -> Self {
         Self {
             idle: Arc::default(),
             keys: None,
             addresses: AddressMap::identity(),
+            clock,
         }
     }
 
@@ -131,7 +134,7 @@
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<PooledLink> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = lock(&self.idle);
         let links = idle.get_mut(&address)?;
         while let Some(link) = links.pop() {
@@ -160,7 +163,7 @@
             links.push(IdleLink {
                 sender: link.sender,
                 life: link.life,
-                since: Instant::now(),
+                since: self.clock.now(),
             });
         }
     }
@@ -172,7 +175,7 @@
 
     /// Closes connections that were idle for too long.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         lock(&self.idle).retain(|_, links| {
             links.retain(|link| {
                 now.duration_since(link.since) < IDLE_TIME && !link.sender.is_closed()
--- a/wisteriaturnd/src/prober.rs
+++ b/wisteriaturnd/src/prober.rs
@@ -11,6 +11,7 @@
 use wisteriaturn::member::rumor::Rumor;
 
 use crate::gossip;
+use crate::news;
 use crate::node::NodeHandle;
 use crate::peer_client;
 
@@ -151,7 +152,7 @@
     };
     log::warn!(event = "member", member:% = member, state:? = standing; "member");
     node.members_changed.notify_one();
-    gossip::spread(node, Rumor::Member(record)).await;
+    news::spread(node, Rumor::Member(record)).await;
 }
 
 async fn bury_overdue(node: &NodeHandle) {
--- a/wisteriaturnd/src/start.rs
+++ b/wisteriaturnd/src/start.rs
@@ -15,8 +15,8 @@
 use wisteriaturn::peer::message::{PeerAnswer, PeerRequest};
 
 use crate::follow;
-use crate::gossip;
 use crate::metrics::TrafficKind;
+use crate::news;
 use crate::node::{NodeHandle, NodeStage};
 use crate::peer_client;
 
@@ -77,7 +77,7 @@
         table.update_own(node.clock.now(), |own| own.is_ready = true)
     };
     node.publish_view();
-    gossip::spread_own(&node, record).await;
+    news::spread_own(&node, record).await;
 }
 
 async fn ask_peers(node: &NodeHandle) -> JoinReport {
--- a/wisteriaturnd/src/targets.rs
+++ b/wisteriaturnd/src/targets.rs
@@ -15,7 +15,7 @@
 use wisteriaturn::ids::{ServiceName, SlotCount};
 use wisteriaturn::member::record::{TARGET_LIMIT, TargetRecord, TargetState};
 
-use crate::gossip;
+use crate::news;
 use crate::node::{NodeHandle, NodeStage, NodeState};
 
 /// What a target says when it announces itself.
@@ -171,7 +171,10 @@
     if !permit.iter().any(|range| range.contains(address.ip())) {
         return Err(AnnounceError::NotPermitted(address));
     }
-    let allowed = service.spec.max_slots;
+    // Each call that runs has a connection of its own and takes an idle one
+    // first, so a target never has more connections than slots.
+    let connections = SlotCount(service.spec.max_connections);
+    let allowed = service.spec.max_slots.min(connections);
     if !(SlotCount(1)..=allowed).contains(&announcement.slots) {
         return Err(AnnounceError::Slots {
             announced: announcement.slots,
@@ -262,7 +265,7 @@
         );
     }
     node.publish_view();
-    gossip::spread_own(node, record).await;
+    news::spread_own(node, record).await;
 }
 
 /// Withdraws targets whose announcement was not renewed.
--- a/wisteriaturnd/src/trial.rs
+++ b/wisteriaturnd/src/trial.rs
@@ -66,7 +66,7 @@
     let builder = NodeBuilder::new(settings, Arc::new(SystemClock), memory_log());
     let running = RunningNode::start(builder).await?;
     start::wait_ready(&running.node).await;
-    let pool = LinkPool::to_targets();
+    let pool = LinkPool::to_targets(Arc::new(SystemClock));
     ask(&pool, admin, Method::POST, "/v1/changes", TRIAL_CHANGE).await?;
     let target = serve_target().await?;
     tokio::spawn(announce_task(pool.clone(), admin, target));
