prober: look at the own link before suspecting another member

Cause: a node that is cut off from its data centre suspected its members one after the other, and the first were overdue before two thirds were suspect, so the rule against a cut link never took hold and it buried them all.

Ruled out: a lower share (the first suspect of 157 is overdue when three are suspect); longer timeouts (they delay the same end).

Before: the new test of a cut node failed, member 1 dead in its table. A second new test cuts two regions from each other and the far one from the log: the near one converges, nobody is buried across the cut, the far one catches up.

Conclusion: three pings a failed probe buy that a cut node spreads no deaths.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod gate_rules;
 mod hostile_bytes;
 mod inside_cut;
+mod inside_regions;
 mod member_table;
 mod process_answers;
 mod process_config;
--- a/wisteriaturnd/src/prober.rs
+++ b/wisteriaturnd/src/prober.rs
@@ -18,6 +18,9 @@
 /// Members asked to probe one that did not answer.
 const HELPERS: usize = 3;
 
+/// Members asked when a probe failed, to see whether the own link works.
+const SELF_CHECK_PEERS: usize = 3;
+
 /// Probes in a row that found other members before they are compared. Fewer
 /// would compare whole tables while news is still on its way.
 const MISMATCHES_TO_COMPARE: u32 = 3;
@@ -99,12 +102,38 @@
         peers
     };
     let is_reached = gossip::ping_through(node, &helpers, target, wait * 2).await;
-    if is_reached || is_unsure {
+    if is_reached || is_unsure || !own_link_works(node, Some(target)).await {
         return;
     }
     set_state(node, target, MemberState::Suspect).await;
 }
 
+/// Tells whether any of a few other members answers. A node that is cut off
+/// would otherwise suspect and bury its data centre one by one, and spread that
+/// when its link is back; the share of suspects (`looks_cut_off`) would be seen
+/// only after most of them.
+async fn own_link_works(node: &NodeHandle, except: Option<NodeAddress>) -> bool {
+    let mut peers = random_peers(&lock(&node.table), SELF_CHECK_PEERS + 1, &mut rand::rng());
+    peers.retain(|peer| Some(*peer) != except);
+    peers.truncate(SELF_CHECK_PEERS);
+    if peers.is_empty() {
+        // With two members nothing tells the two cases apart.
+        return true;
+    }
+    let wait = node.settings.tuning.probe_timeout;
+    let mut pings = tokio::task::JoinSet::new();
+    for peer in peers {
+        let node = node.clone();
+        pings.spawn(async move { gossip::ping(&node, peer, wait).await.is_some() });
+    }
+    while let Some(answered) = pings.join_next().await {
+        if answered.unwrap_or_default() {
+            return true;
+        }
+    }
+    false
+}
+
 /// A relay also probes a relay of some other data centre, to find what a lost
 /// push left out. A failure there says nothing about the node: the link
 /// between regions may be cut.
@@ -166,6 +195,9 @@
         }
         table.overdue_suspects(place, timeout, node.clock.now())
     };
+    if overdue.is_empty() || !own_link_works(node, None).await {
+        return;
+    }
     for member in overdue {
         set_state(node, member, MemberState::Dead).await;
     }
