gate: free the slot of a body that makes no progress

Cause: a deadline ends with the head of an answer. A target that stopped sending, or a caller that stopped reading, then held one of a target's few slots for as long as it liked; six such callers stop a target.

Ruled out: a deadline over the whole body (archives take as long as they take); a watchdog task for each call; the kernel's user timeout, which does not say what it does for a closed window.

Claims end with the deadline of their call, also when a keeper is slow to answer.

A line tells which member keeps a claim stream.

--- a/testing/src/bin/target-standin.rs
+++ b/testing/src/bin/target-standin.rs
@@ -181,6 +181,9 @@
         };
         let _ = tokio::spawn(work).await;
     }
+    if parts.headers.contains_key("x-stall") {
+        return Response::new(stalled_body());
+    }
     if parts.headers.contains_key("x-cut") {
         return Response::new(cut_body());
     }
@@ -224,6 +227,13 @@
     StreamBody::new(futures_util::stream::iter(frames)).boxed_unsync()
 }
 
+/// Returns a body that stops after its first bytes and stays open.
+fn stalled_body() -> TargetBody {
+    let first = futures_util::stream::iter([Ok(Frame::data(Bytes::from(vec![b'x'; 1_000])))]);
+    let rest = futures_util::stream::pending();
+    StreamBody::new(futures_util::StreamExt::chain(first, rest)).boxed_unsync()
+}
+
 /// Notes the run before it does anything, as a booking would be noted.
 fn note_run(state: &TargetState, headers: &HeaderMap) {
     let id = headers.get("x-run").and_then(|value| value.to_str().ok());
--- a/testing/src/experiment/chaos.rs
+++ b/testing/src/experiment/chaos.rs
@@ -85,7 +85,7 @@
         .collect();
     let operator = tokio::spawn(operate(admins, options.seed, Arc::clone(&stop)));
 
-    let mut faults = FaultPlan::new(options.seed, options.nodes);
+    let mut faults = FaultPlan::new(options.seed, options.nodes, options.places);
     let until = Instant::now() + Duration::from_secs(options.seconds);
     while Instant::now() < until {
         faults.step(&mut cluster, &views).await?;
--- a/testing/src/experiment/faults.rs
+++ b/testing/src/experiment/faults.rs
@@ -22,6 +22,7 @@
     FreezeNode(usize),
     StopNode(usize),
     KillTarget(usize),
+    KillPlace(usize),
     LogOrder,
 }
 
@@ -31,6 +32,7 @@
     rng: StdRng,
     open: Vec<OpenFault>,
     nodes: usize,
+    places: usize,
     next: Instant,
     /// Number of faults by name.
     pub counts: std::collections::BTreeMap<&'static str, u32>,
@@ -42,11 +44,12 @@
 
 impl FaultPlan {
     /// Returns a plan from a seed.
-    pub fn new(seed: u64, nodes: usize) -> Self {
+    pub fn new(seed: u64, nodes: usize, places: usize) -> Self {
         Self {
             rng: StdRng::seed_from_u64(seed),
             open: Vec::new(),
             nodes,
+            places,
             next: Instant::now(),
             counts: Default::default(),
             stops: Vec::new(),
@@ -94,6 +97,12 @@
                     views.note_back(index);
                 }
                 FaultKind::KillTarget(index) => start_target(cluster, index)?,
+                FaultKind::KillPlace(place) => {
+                    for index in self.nodes_of(place) {
+                        cluster.start_node(index)?;
+                        views.note_back(index);
+                    }
+                }
                 FaultKind::LogOrder => cluster.set_log("{}").await?,
             }
         }
@@ -103,18 +112,14 @@
     async fn draw(&mut self, cluster: &mut TestCluster, views: &ViewLog) -> Result<()> {
         let index = self.rng.random_range(0..self.nodes);
         let lasts = Duration::from_millis(self.rng.random_range(200..3_000));
-        let is_touched = self.open.iter().any(|fault| match fault.kind {
-            FaultKind::KillNode(other)
-            | FaultKind::FreezeNode(other)
-            | FaultKind::StopNode(other)
-            | FaultKind::KillTarget(other) => other == index,
-            FaultKind::LogOrder => false,
-        });
+        let is_touched = self.is_touched(index);
+        let place = index % self.places;
+        let is_place_touched = self.nodes_of(place).any(|index| self.is_touched(index));
         let has_order = self
             .open
             .iter()
             .any(|fault| matches!(fault.kind, FaultKind::LogOrder));
-        let draw = self.rng.random_range(0..10_u8);
+        let draw = self.rng.random_range(0..11_u8);
         let kind = match draw {
             0 | 1 if !is_touched => {
                 views.note_down(index);
@@ -134,8 +139,17 @@
                 cluster.kill_target(index);
                 self.count("kill target", FaultKind::KillTarget(index))
             }
+            10 if !is_place_touched => {
+                for index in self.nodes_of(place) {
+                    views.note_down(index);
+                    cluster.kill_node(index);
+                }
+                self.count("kill data centre", FaultKind::KillPlace(place))
+            }
             6..=9 if !has_order => {
+                let is_hanging = self.rng.random_bool(0.5);
                 let order = match draw {
+                    6 if is_hanging => r#"{"hang":true}"#,
                     6 => r#"{"outage":true}"#,
                     7 => r#"{"lose_answers":3}"#,
                     8 => r#"{"late_appends":2,"late_ms":400}"#,
@@ -159,6 +173,22 @@
         Ok(())
     }
 
+    /// Returns the nodes of a data centre, numbered as the cluster does.
+    fn nodes_of(&self, place: usize) -> impl Iterator<Item = usize> + use<> {
+        (place..self.nodes).step_by(self.places)
+    }
+
+    fn is_touched(&self, index: usize) -> bool {
+        self.open.iter().any(|fault| match fault.kind {
+            FaultKind::KillNode(other)
+            | FaultKind::FreezeNode(other)
+            | FaultKind::StopNode(other)
+            | FaultKind::KillTarget(other) => other == index,
+            FaultKind::KillPlace(place) => index % self.places == place,
+            FaultKind::LogOrder => false,
+        })
+    }
+
     async fn stop_node(
         &mut self,
         cluster: &mut TestCluster,
--- a/tests/integration/process_answers.rs
+++ b/tests/integration/process_answers.rs
@@ -4,6 +4,8 @@
 
 use eyre::Result;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use wisteriaturn_testing::client;
 use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
 
@@ -111,3 +113,38 @@
     cluster.remove_folder();
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_stalls_frees_its_slot() -> Result<()> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes: 2,
+        tuning: "stall_timeout_ms = 300".to_owned(),
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster.add_service("portal", json!({})).await?;
+    cluster.start_target(0, "portal", 1)?;
+    cluster.wait_targets(1, "portal", 1).await?;
+    let ingress = cluster.ingress(1);
+    // A target that stops sending.
+    for method in ["GET", "POST"] {
+        let stalled = client::send(ingress, method, "/portal", &[("x-stall", "1")], b"").await;
+        let is_whole = stalled.is_ok_and(|reply| reply.outcome() == "done");
+        assert!(!is_whole);
+    }
+    // A caller that stops reading: the answer fits no buffer on the way.
+    let mut caller = TcpStream::connect(ingress).await?;
+    let request = "GET /portal HTTP/1.1\r\nhost: x\r\nx-answer-bytes: 80000000\r\n\r\n";
+    caller.write_all(request.as_bytes()).await?;
+    let mut head = [0; 64];
+    caller.read_exact(&mut head).await?;
+    cluster
+        .wait("the slot to be free", async || {
+            cluster.status(0).await["calls_at_gate"] == json!(0)
+        })
+        .await?;
+    let reply = client::get(ingress, "/portal").await?;
+    assert_eq!(reply.outcome(), "done", "{}", reply.text());
+    cluster.remove_folder();
+    Ok(())
+}
--- a/wisteriaturnd/src/body.rs
+++ b/wisteriaturnd/src/body.rs
@@ -6,11 +6,13 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
+use tokio::time::Sleep;
 
 /// The error of a body, whatever its source.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -134,6 +136,54 @@
     }
 }
 
+/// A body that fails when its source makes no progress for a time.
+///
+/// Only time in which the reader waits for the source counts: a slow reader is
+/// the business of its connection.
+struct StallBody {
+    inner: NodeBody,
+    limit: Duration,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+/// Returns `inner`, which fails after `limit` without progress.
+pub fn stalling(inner: NodeBody, limit: Duration) -> NodeBody {
+    boxed(StallBody {
+        inner,
+        limit,
+        timer: None,
+    })
+}
+
+impl Body for StallBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Poll::Ready(frame) = Pin::new(&mut self.inner).poll_frame(context) {
+            self.timer = None;
+            return Poll::Ready(frame);
+        }
+        let limit = self.limit;
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        ready!(timer.as_mut().poll(context));
+        Poll::Ready(Some(Err("the source of the body stalled".into())))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// How a guarded body ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
--- a/wisteriaturnd/src/claims.rs
+++ b/wisteriaturnd/src/claims.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout_at;
 use wisteriaturn::clock::lock;
 use wisteriaturn::gate::claim::{
     BATCH_LIMIT, CLAIM_STREAMS, ClaimDemand, ClaimHolder, ClaimItem, ClaimVerdict, stream_of,
@@ -80,8 +81,12 @@
         if queue.try_send(queued).is_err() {
             return ClaimVerdict::Unavailable;
         }
-        // The task drops the reply of an item whose time is over.
-        verdict.await.unwrap_or(ClaimVerdict::Unavailable)
+        // The task drops an item whose time is over, but it may be waiting for
+        // a keeper just then.
+        match timeout_at(until.into(), verdict).await {
+            Ok(Ok(verdict)) => verdict,
+            Ok(Err(_)) | Err(_) => ClaimVerdict::Unavailable,
+        }
     }
 }
 
@@ -150,6 +155,7 @@
     }
     if link.as_ref().is_none_or(|(peer, _)| *peer != keeper) {
         *link = None;
+        log::info!(event = "keeper", stream = demand.stream, chosen:% = keeper; "place");
         let opened = PeerLink::open(node, keeper).await.ok()?;
         *link = Some((keeper, opened));
     }
--- a/wisteriaturnd/src/exchange.rs
+++ b/wisteriaturnd/src/exchange.rs
@@ -1,9 +1,11 @@
 //! One HTTP exchange over a pooled connection.
 
+use std::time::Duration;
+
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
-use crate::body::{BodyEnd, GuardedBody, NodeBody, boxed};
+use crate::body::{BodyEnd, GuardedBody, NodeBody, boxed, stalling};
 use crate::error::LinkError;
 use crate::pool::{LinkPool, PooledLink};
 
@@ -37,20 +39,29 @@
     }
 }
 
-/// Returns the body of an answer, which gives its connection back to the pool
-/// at its end and calls `on_end`.
-pub fn pooled_body<F>(incoming: Incoming, link: PooledLink, pool: &LinkPool, on_end: F) -> NodeBody
+/// Returns the body of an answer, which fails after `stall` without progress,
+/// gives its connection back to the pool at its end and calls `on_end`.
+pub fn pooled_body<F>(
+    incoming: Incoming,
+    link: PooledLink,
+    pool: &LinkPool,
+    stall: Duration,
+    on_end: F,
+) -> NodeBody
 where
     F: FnOnce(BodyEnd) + Send + Unpin + 'static,
 {
     let pool = pool.clone();
     let mut link = Some(link);
-    boxed(GuardedBody::new(boxed(incoming), move |end| {
-        if let (BodyEnd::Whole, Some(link)) = (end, link.take()) {
-            give_back_when_ready(pool, link);
-        }
-        on_end(end);
-    }))
+    boxed(GuardedBody::new(
+        stalling(boxed(incoming), stall),
+        move |end| {
+            if let (BodyEnd::Whole, Some(link)) = (end, link.take()) {
+                give_back_when_ready(pool, link);
+            }
+            on_end(end);
+        },
+    ))
 }
 
 /// Waits for the connection to finish its exchange before the pool has it: the
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -90,7 +90,8 @@
     headers::strip_mesh(&mut parts.headers);
     headers::set(&mut parts.headers, headers::OUTCOME, CallOutcome::Done);
     let (owner, call) = (node.clone(), call.clone());
-    let body = pooled_body(body, link, &node.target_pool, move |end| {
+    let stall = node.settings.tuning.stall_timeout;
+    let body = pooled_body(body, link, &node.target_pool, stall, move |end| {
         drop(permit);
         note_end(owner, &call, address, end);
     });
@@ -170,7 +171,8 @@
         headers: kept_headers(parts.headers),
         body: Bytes::new(),
     };
-    let body = pooled_body(body, link, &node.target_pool, |_| ());
+    let stall = node.settings.tuning.stall_timeout;
+    let body = pooled_body(body, link, &node.target_pool, stall, |_| ());
     let read = timeout_at(
         call.deadline.at().into(),
         RequestBody::read(body, BODY_LIMIT),
--- a/wisteriaturnd/src/hop.rs
+++ b/wisteriaturnd/src/hop.rs
@@ -115,7 +115,8 @@
 ) -> Result<Response<NodeBody>, ExchangeError> {
     let response = exchange::send(&mut link, request).await?;
     let (parts, body) = response.into_parts();
-    let body = pooled_body(body, link, &node.hop_pool, |_| ());
+    let stall = node.settings.tuning.stall_timeout;
+    let body = pooled_body(body, link, &node.hop_pool, stall, |_| ());
     Ok(Response::from_parts(parts, body))
 }
 
--- a/wisteriaturnd/src/listener.rs
+++ b/wisteriaturnd/src/listener.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore};
+use tokio_io_timeout::TimeoutStream;
 use tokio_util::task::TaskTracker;
 
 use crate::body::NodeBody;
@@ -89,6 +90,9 @@
     F: Fn(Request<Incoming>) -> T,
     T: Future<Output = Response<NodeBody>>,
 {
+    // A caller that stops reading would hold the slot of its call for ever.
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(node.settings.tuning.stall_timeout));
     let mut stage = node.stage.subscribe();
     let has_request = AtomicBool::new(false);
     let first_request = Notify::new();
@@ -110,7 +114,7 @@
         .header_read_timeout(HEAD_TIME)
         .max_headers(limits.headers)
         .max_buf_size(limits.head_bytes)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
--- a/wisteriaturnd/src/settings/mod.rs
+++ b/wisteriaturnd/src/settings/mod.rs
@@ -69,6 +69,8 @@
     pub fanout: usize,
     /// Time that a planned stop waits for calls in flight.
     pub drain_timeout: Duration,
+    /// Time without progress after which a body is given up.
+    pub stall_timeout: Duration,
     /// Time that an announcement of a target lasts.
     pub announce_ttl: Duration,
     /// Connections from callers that are open at once.
@@ -201,6 +203,12 @@
             60_000,
             0..=3_600_000,
         )?;
+        let stall = number(
+            "tuning.stall_timeout_ms",
+            raw.stall_timeout_ms,
+            30_000,
+            100..=3_600_000,
+        )?;
         let ttl = number(
             "tuning.announce_ttl_ms",
             raw.announce_ttl_ms,
@@ -249,6 +257,7 @@
             suspect_timeout: ms(suspect),
             fanout: fanout as usize,
             drain_timeout: ms(drain),
+            stall_timeout: ms(stall),
             announce_ttl: ms(ttl),
             max_connections: connections as usize,
             replay_bytes: replay as usize,
--- a/wisteriaturnd/src/settings/raw.rs
+++ b/wisteriaturnd/src/settings/raw.rs
@@ -75,6 +75,8 @@
     pub fanout: Option<u64>,
     /// Time that a planned stop waits for calls in flight, in milliseconds.
     pub drain_timeout_ms: Option<u64>,
+    /// Time without progress after which a body is given up, in milliseconds.
+    pub stall_timeout_ms: Option<u64>,
     /// Time that an announcement of a target lasts, in milliseconds.
     pub announce_ttl_ms: Option<u64>,
     /// Connections from callers that are open at once.
