gate: split the run of a call and the building of a view into named steps

Cause: reading as a newcomer, the run of a call that is not idempotent and the join of members into a view were the two longest functions, each with several ends that drop the same things in the same order.

Before: one function of 70 lines, one of 45.

Conclusion: each end of a run stands once.

--- a/src/config/view.rs
+++ b/src/config/view.rs
@@ -18,7 +18,7 @@
 use crate::error::ViewError;
 use crate::ids::{ConfigVersion, DataCentre, Incarnation, NodeAddress, RegionName, ServiceName};
 use crate::invariant::{Rule, check};
-use crate::member::record::{MemberRecord, MemberState, TargetState};
+use crate::member::record::{MemberRecord, MemberState, TargetRecord, TargetState};
 
 /// A service with the policy that applies to it.
 #[derive(Debug)]
@@ -196,6 +196,34 @@
     pub is_suspect: bool,
 }
 
+/// Tells whether a target serves and its service permits it.
+fn is_admitted(spec: &ServiceSpec, target: &TargetRecord) -> bool {
+    let address = target.address.ip();
+    target.state == TargetState::Serving && spec.permit.iter().any(|range| range.contains(address))
+}
+
+fn target_entry(
+    spec: &ServiceSpec,
+    member: &MemberRecord,
+    target: &TargetRecord,
+    since: Instant,
+) -> TargetEntry {
+    TargetEntry {
+        node: member.address,
+        hop: member.hop,
+        incarnation: member.incarnation,
+        region: member.region.clone(),
+        data_centre: member.data_centre.clone(),
+        slots: target
+            .slots
+            .0
+            .min(spec.max_slots.0)
+            .min(spec.max_connections),
+        since,
+        is_suspect: member.state == MemberState::Suspect,
+    }
+}
+
 /// Routes, services and the targets that serve them.
 #[derive(Debug, Default)]
 pub struct ServingView {
@@ -219,39 +247,19 @@
         for name in config.services.keys() {
             targets.insert(name.clone(), Vec::new());
         }
-        for member in members {
-            if !matches!(member.state, MemberState::Alive | MemberState::Suspect) {
-                continue;
-            }
+        for member in members.into_iter().filter(|member| member.is_live()) {
             for target in &member.targets {
                 let Some(service) = config.services.get(&target.service) else {
                     continue;
                 };
-                let permit = &service.spec.permit;
-                let is_permitted = permit
-                    .iter()
-                    .any(|range| range.contains(target.address.ip()));
-                if !is_permitted || target.state != TargetState::Serving {
-                    continue;
+                if is_admitted(&service.spec, target) {
+                    let since = seen(member, &target.service);
+                    let entry = target_entry(&service.spec, member, target, since);
+                    targets
+                        .entry(target.service.clone())
+                        .or_default()
+                        .push(entry);
                 }
-                let entry = TargetEntry {
-                    node: member.address,
-                    hop: member.hop,
-                    incarnation: member.incarnation,
-                    region: member.region.clone(),
-                    data_centre: member.data_centre.clone(),
-                    slots: target
-                        .slots
-                        .0
-                        .min(service.spec.max_slots.0)
-                        .min(service.spec.max_connections),
-                    since: seen(member, &target.service),
-                    is_suspect: member.state == MemberState::Suspect,
-                };
-                targets
-                    .entry(target.service.clone())
-                    .or_default()
-                    .push(entry);
             }
         }
         let targets = targets
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -6,6 +6,8 @@
 //! task of its own: a cut link must not end it half way, and its answer is
 //! kept for a node that asks.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -35,7 +37,7 @@
 struct AdmittedRun {
     permit: SlotPermit,
     link: PooledLink,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
 }
 
 /// Runs a call, or refuses it. The answer carries its outcome and how full
@@ -150,65 +152,80 @@
     if let Err(reason) = ticket.start() {
         return refuse(node, &call, ticket, reason);
     }
+    node.metrics.target_runs.inc();
     let AdmittedRun {
         permit,
         link,
         address,
     } = admitted;
-    node.metrics.target_runs.inc();
     let sent = send(node, &call, link, address, request).await;
-    let (response, link) = match sent {
-        Ok(answered) => answered,
-        Err(reason) => {
-            drop(permit);
-            ticket.end(CallEnd::Lost);
-            return lost(node, &call, address, reason).await;
-        }
-    };
-    let (parts, body) = response.into_parts();
-    let mut kept = KeptAnswer {
-        status: parts.status.as_u16(),
-        headers: kept_headers(parts.headers),
-        body: Bytes::new(),
+    let run = StartedRun {
+        node: node.clone(),
+        call,
+        ticket,
+        permit,
+        address,
     };
-    let stall = node.settings.tuning.stall_timeout;
-    let body = pooled_body(body, link, &node.target_pool, stall, |_| ());
-    let read = timeout_at(
-        call.deadline.at().into(),
-        RequestBody::read(body, BODY_LIMIT),
-    )
-    .await;
-    match read {
-        Ok(Ok(RequestBody::Whole(bytes))) => {
-            drop(permit);
-            kept.body = bytes;
-            let response = kept_response(&kept);
-            ticket.end(CallEnd::Answered(kept));
-            note_end(node.clone(), &call, address, BodyEnd::Whole);
-            response
-        }
-        Ok(Ok(mut large)) => {
-            // Too large to keep: it streams on, and a lost link loses it.
-            let rest = large.for_attempt().unwrap_or_else(crate::body::empty);
-            let owner = node.clone();
-            let body = GuardedBody::new(rest, move |end| {
-                drop(permit);
-                ticket.end(CallEnd::TooLarge);
-                note_end(owner, &call, address, end);
-            });
-            kept_response(&kept).map(|_| boxed(body))
-        }
-        Ok(Err(_)) => {
-            drop(permit);
-            ticket.end(CallEnd::Lost);
-            lost(node, &call, address, RefusalReason::TargetLost).await
-        }
-        Err(_) => {
-            drop(permit);
-            ticket.end(CallEnd::Lost);
-            refusal(CallOutcome::Unknown, RefusalReason::Deadline)
+    match sent {
+        Ok((response, link)) => run.deliver(response, link).await,
+        Err(reason) => run.lose(reason).await,
+    }
+}
+
+/// A call that is not idempotent and was sent to its target.
+struct StartedRun {
+    node: NodeHandle,
+    call: GateCall,
+    ticket: CallTicket,
+    permit: SlotPermit,
+    address: SocketAddr,
+}
+
+impl StartedRun {
+    /// Ends a run without a whole answer.
+    async fn lose(self, reason: RefusalReason) -> Response<NodeBody> {
+        drop(self.permit);
+        self.ticket.end(CallEnd::Lost);
+        lost(&self.node, &self.call, self.address, reason).await
+    }
+
+    /// Reads the answer, so that it can be kept until it is whole.
+    async fn deliver(self, response: Response<Incoming>, link: PooledLink) -> Response<NodeBody> {
+        let (parts, body) = response.into_parts();
+        let kept = KeptAnswer {
+            status: parts.status.as_u16(),
+            headers: kept_headers(parts.headers),
+            body: Bytes::new(),
+        };
+        let stall = self.node.settings.tuning.stall_timeout;
+        let body = pooled_body(body, link, &self.node.target_pool, stall, |_| ());
+        let until = self.call.deadline.at().into();
+        match timeout_at(until, RequestBody::read(body, BODY_LIMIT)).await {
+            Ok(Ok(RequestBody::Whole(body))) => self.keep(KeptAnswer { body, ..kept }),
+            Ok(Ok(large)) => self.stream(&kept, large),
+            Ok(Err(_)) => self.lose(RefusalReason::TargetLost).await,
+            Err(_) => self.lose(RefusalReason::Deadline).await,
         }
     }
+
+    fn keep(self, kept: KeptAnswer) -> Response<NodeBody> {
+        drop(self.permit);
+        let response = kept_response(&kept);
+        self.ticket.end(CallEnd::Answered(kept));
+        note_end(self.node, &self.call, self.address, BodyEnd::Whole);
+        response
+    }
+
+    /// Streams an answer that is too large to keep; a lost link loses it.
+    fn stream(self, head: &KeptAnswer, mut large: RequestBody) -> Response<NodeBody> {
+        let rest = large.for_attempt().unwrap_or_else(crate::body::empty);
+        let body = GuardedBody::new(rest, move |end| {
+            drop(self.permit);
+            self.ticket.end(CallEnd::TooLarge);
+            note_end(self.node, &self.call, self.address, end);
+        });
+        kept_response(head).map(|_| boxed(body))
+    }
 }
 
 fn kept_headers(mut map: hyper::HeaderMap) -> Vec<(Bytes, Bytes)> {
@@ -287,7 +304,7 @@
     node: &NodeHandle,
     call: &GateCall,
     mut link: PooledLink,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     mut request: Request<NodeBody>,
 ) -> Result<(Response<Incoming>, PooledLink), RefusalReason> {
     let left = call.deadline.remaining(node.clock.now()).as_millis();
@@ -316,7 +333,7 @@
 async fn lost(
     node: &NodeHandle,
     call: &GateCall,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     reason: RefusalReason,
 ) -> Response<NodeBody> {
     let mut response = refusal(CallOutcome::Unknown, reason);
