tests: calls stay near, go further under load and leave a target that hangs

Cause: spill-over and ejection were proved for the decision alone.

Ruled out: timing thresholds; the tests look at which target answered.

Before: no process test.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -12,5 +12,6 @@
 mod process_input;
 mod process_once;
 mod process_path;
+mod process_routing;
 mod process_stop;
 mod route_rules;
