cli: print nested results on lines of their own

Cause: the tool printed candidates and resources as one long line each.

Ruled out: a table library, for columns that differ by command.

Before: 'get' printed a resource in one line of nested key=value text. After: one field a line, lists of flat objects one a line; help no longer names a default twice.

--- a/wisteriaturn-cli/src/options.rs
+++ b/wisteriaturn-cli/src/options.rs
@@ -90,11 +90,7 @@
     pub(crate) change_id: Option<String>,
     #[options(help = "wait until every live node holds the change")]
     pub(crate) wait: bool,
-    #[options(
-        help = "seconds to wait (default 10)",
-        default = "10",
-        meta = "SECONDS"
-    )]
+    #[options(help = "seconds to wait", default = "10", meta = "SECONDS")]
     pub(crate) timeout: u64,
 }
 
@@ -126,7 +122,7 @@
 pub(crate) struct WatchOptions {
     #[options(help = "print this help")]
     pub(crate) help: bool,
-    #[options(help = "start after this version (default 0)", default = "0")]
+    #[options(help = "start after this version", default = "0")]
     pub(crate) from: u64,
 }
 
@@ -138,7 +134,7 @@
     pub(crate) path: Option<String>,
     #[options(help = "host of the call", default = "")]
     pub(crate) host: String,
-    #[options(help = "method of the call (default GET)", default = "GET")]
+    #[options(help = "method of the call", default = "GET")]
     pub(crate) method: String,
 }
 
--- a/wisteriaturn-cli/src/print.rs
+++ b/wisteriaturn-cli/src/print.rs
@@ -27,7 +27,12 @@
         }
         Value::Array(items) => {
             for item in items {
-                println!("{prefix}- {}", plain(item));
+                if fits_a_line(item) {
+                    println!("{prefix}- {}", plain(item));
+                } else {
+                    println!("{prefix}-");
+                    print_value(item, &format!("{prefix}  "));
+                }
             }
         }
         _ => println!("{prefix}{}", plain(value)),
@@ -44,6 +49,14 @@
     }
 }
 
+/// Tells whether a value reads well on one line: its fields hold no objects.
+fn fits_a_line(value: &Value) -> bool {
+    match value {
+        Value::Object(fields) => fields.values().all(is_flat),
+        _ => is_flat(value),
+    }
+}
+
 /// Returns a value on one line, `key=value` for the fields of an object.
 fn plain(value: &Value) -> String {
     match value {
