admin: a table of what only the local target may say

Cause: the rule that announcements come from loopback alone had no test; all traffic of the tests is loopback, so no connection can provoke it.

Ruled out: a test address beyond loopback.

Before: no test.

--- a/tests/integration/hostile_bytes.rs
+++ b/tests/integration/hostile_bytes.rs
@@ -8,6 +8,7 @@
 use wisteriaturn::gate::claim::{ClaimBatch, ClaimFold};
 use wisteriaturn::peer::auth::MeshKeys;
 use wisteriaturn::peer::message::{Datagram, PeerAnswer, PeerRequest, decode, encode};
+use wisteriaturnd::admin;
 use wisteriaturnd::error::SettingsError;
 use wisteriaturnd::handshake::{self, PortUse};
 use wisteriaturnd::logs::Clean;
@@ -94,6 +95,19 @@
     assert!(error.to_string().contains(expected), "{error}");
 }
 
+#[parameterized(
+    announce = { "POST", "v1/targets", true },
+    withdraw = { "DELETE", "v1/targets/portal", true },
+    other_method = { "PUT", "v1/targets/portal", true },
+    read = { "GET", "v1/targets", false },
+    change = { "POST", "v1/changes", false },
+)]
+fn only_the_local_target_speaks_for_itself(method: &str, path: &str, is_for_target: bool) {
+    let parts: Vec<&str> = path.split('/').collect();
+    let method = method.parse().expect("a method");
+    assert_eq!(admin::port::is_for_target(&method, &parts), is_for_target);
+}
+
 #[test]
 fn a_secret_is_long_enough_and_stays_out_of_messages() {
     let text = TRIAL_SETTINGS.replace("a secret for the trial only", "short");
--- a/wisteriaturnd/src/admin/port.rs
+++ b/wisteriaturnd/src/admin/port.rs
@@ -75,7 +75,7 @@
     let path = request.uri().path().to_owned();
     let parts: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
     let method = request.method().clone();
-    let is_local = parts.starts_with(&["v1", "targets"]) && method != Method::GET;
+    let is_local = is_for_target(&method, &parts);
     if is_local && !from.ip().is_loopback() {
         let error = "only the target on this VM may say this, over loopback";
         return error_reply(StatusCode::FORBIDDEN, error);
@@ -89,6 +89,11 @@
     write(node, &method, &parts, request).await
 }
 
+/// Tells whether a request is one that only the target on this VM may make.
+pub fn is_for_target(method: &Method, parts: &[&str]) -> bool {
+    parts.starts_with(&["v1", "targets"]) && method != Method::GET
+}
+
 fn has_token(node: &NodeHandle, headers: &HeaderMap) -> bool {
     let Some(expected) = &node.settings.admin_token else {
         return true;
