config: say once who may serve a service and with how many slots

Cause: reading the whole change once more found the permit check and the bound of slots in the announcement and again in the building of a view, the ingress's largest head as two constants, a comment in the join above the wrong lines, and a function of the test cluster that nobody calls.

Ruled out: nothing else that stands twice shares its reason; the tests' similar lines each set up a case of their own.

Before: two places each.

Conclusion: a change of either rule is now made in one place.

--- a/src/config/resource.rs
+++ b/src/config/resource.rs
@@ -235,6 +235,20 @@
     }
 }
 
+impl ServiceSpec {
+    /// Tells whether a target at `address` may serve the service.
+    pub fn permits(&self, address: IpAddr) -> bool {
+        self.permit.iter().any(|range| range.contains(address))
+    }
+
+    /// Returns the most slots that a target may have. Each call that runs has a
+    /// connection of its own and takes an idle one first, so a target never has
+    /// more connections than slots, and the bound of connections holds as well.
+    pub fn slot_bound(&self) -> SlotCount {
+        self.max_slots.min(SlotCount(self.max_connections))
+    }
+}
+
 impl PolicySpec {
     /// Returns the policy of a service that has none.
     pub fn default_for(service: ServiceName) -> Self {
--- a/src/config/view.rs
+++ b/src/config/view.rs
@@ -198,8 +198,7 @@
 
 /// Tells whether a target serves and its service permits it.
 fn is_admitted(spec: &ServiceSpec, target: &TargetRecord) -> bool {
-    let address = target.address.ip();
-    target.state == TargetState::Serving && spec.permit.iter().any(|range| range.contains(address))
+    target.state == TargetState::Serving && spec.permits(target.address.ip())
 }
 
 fn target_entry(
@@ -214,11 +213,7 @@
         incarnation: member.incarnation,
         region: member.region.clone(),
         data_centre: member.data_centre.clone(),
-        slots: target
-            .slots
-            .0
-            .min(spec.max_slots.0)
-            .min(spec.max_connections),
+        slots: target.slots.min(spec.slot_bound()).0,
         since,
         is_suspect: member.state == MemberState::Suspect,
     }
--- a/testing/src/cluster.rs
+++ b/testing/src/cluster.rs
@@ -339,11 +339,6 @@
         runs
     }
 
-    /// Kills the log stand-in.
-    pub fn kill_log(&mut self) {
-        self.log = None;
-    }
-
     /// Kills a node.
     pub fn kill_node(&mut self, index: usize) {
         self.nodes[index] = None;
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -27,7 +27,7 @@
 use crate::node::{NodeHandle, NodeStage};
 
 /// Largest head of a request in bytes.
-const HEAD_LIMIT: usize = 64 * 1024;
+pub const HEAD_LIMIT: usize = 64 * 1024;
 
 /// What is known of a call when it ends, for its log line and metrics.
 #[derive(Debug)]
--- a/wisteriaturnd/src/ingress/port.rs
+++ b/wisteriaturnd/src/ingress/port.rs
@@ -7,9 +7,6 @@
 use crate::listener::{PortLimits, accept_until_stopped, serve_http};
 use crate::node::NodeHandle;
 
-/// Bytes that a connection buffers for the head of a request.
-const HEAD_LIMIT: usize = 64 * 1024;
-
 /// Most headers of a request.
 const HEADER_LIMIT: usize = 100;
 
@@ -18,7 +15,7 @@
     let limits = PortLimits {
         connections: node.settings.tuning.max_connections,
         drop_cause: "ingress-connections",
-        head_bytes: HEAD_LIMIT,
+        head_bytes: call::HEAD_LIMIT,
         headers: HEADER_LIMIT,
     };
     accept_until_stopped(
--- a/wisteriaturnd/src/peer_server.rs
+++ b/wisteriaturnd/src/peer_server.rs
@@ -12,6 +12,7 @@
 use wisteriaturn::clock::lock;
 use wisteriaturn::ids::{ConfigVersion, DataCentre, Incarnation, NodeAddress};
 use wisteriaturn::member::record::MemberRecord;
+use wisteriaturn::member::rumor::Rumor;
 use wisteriaturn::peer::message::{
     HeldReport, PeerAnswer, PeerRequest, RECORDS_LIMIT, decode, encode,
 };
@@ -152,8 +153,6 @@
     digests: &BTreeMap<DataCentre, u64>,
 ) -> PeerAnswer {
     let joiner = record.address;
-    // The joiner's own data centre differs by the joiner itself, which this
-    // node may not know yet; taking its record first makes the digests equal.
     let (seen_version, seen_incarnation) = {
         let table = lock(&node.table);
         let seen = table.get(joiner);
@@ -163,10 +162,12 @@
         )
     };
     // A restarted node with a lower incarnation joins again with a higher one.
+    // The record is taken before digests are compared, or the joiner's own data
+    // centre would differ by the joiner itself.
     if record.incarnation > seen_incarnation {
         lock(&node.table).merge(record.clone(), node.clock.now());
         node.members_changed.notify_one();
-        news::spread(node, wisteriaturn::member::rumor::Rumor::Member(record)).await;
+        news::spread(node, Rumor::Member(record)).await;
     }
     PeerAnswer::Joined {
         records: records_in(node, &differing(node, digests)),
--- a/wisteriaturnd/src/targets.rs
+++ b/wisteriaturnd/src/targets.rs
@@ -167,14 +167,10 @@
         return Err(AnnounceError::NoService(announcement.service.clone()));
     };
     let address = announcement.address;
-    let permit = &service.spec.permit;
-    if !permit.iter().any(|range| range.contains(address.ip())) {
+    if !service.spec.permits(address.ip()) {
         return Err(AnnounceError::NotPermitted(address));
     }
-    // Each call that runs has a connection of its own and takes an idle one
-    // first, so a target never has more connections than slots.
-    let connections = SlotCount(service.spec.max_connections);
-    let allowed = service.spec.max_slots.min(connections);
+    let allowed = service.spec.slot_bound();
     if !(SlotCount(1)..=allowed).contains(&announcement.slots) {
         return Err(AnnounceError::Slots {
             announced: announcement.slots,
