--- a/src/config/resource.rs
+++ b/src/config/resource.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{HostName, PathPrefix, Percent, RouteName, ServiceName, SlotCount};
+use crate::ids::{CallPriority, HostName, PathPrefix, Percent, RouteName, ServiceName, SlotCount};
 
 /// Deadline of a route that names none, in milliseconds.
 pub const DEFAULT_DEADLINE_MS: u64 = 10_000;
@@ -18,6 +18,9 @@
 /// Longest deadline that a route may give, in milliseconds.
 pub const MAX_DEADLINE_MS: u64 = 3_600_000;
 
+/// Name of the limits that are in force.
+pub const LIMITS_NAME: &str = "callers";
+
 /// Most slots that a service may allow a target.
 pub const MAX_SLOTS: u16 = 4096;
 
@@ -64,6 +67,34 @@
         /// Most calls that one node has under way on this route; no bound when absent.
         #[serde(default)]
         pub max_concurrent: Option<u32>,
+        /// Whether a path must go on below the prefix: `/a/` then matches `/a/b`
+        /// but not `/a`.
+        #[serde(default)]
+        pub only_below: bool,
+        /// Most targets that one call is sent to; the node's own bound when absent.
+        #[serde(default)]
+        pub max_attempts: Option<u32>,
+        /// Time within which an answer is worth most, in milliseconds.
+        #[serde(default)]
+        pub target_latency_ms: Option<u64>,
+        /// Rank among the calls of one class; 0 is served first.
+        #[serde(default)]
+        pub priority: CallPriority,
+    }
+
+    /// What callers may send, and how long they may take or stay idle.
+    #[serde(deny_unknown_fields)]
+    pub struct LimitsSpec {
+        /// Name of the limits; those named [`LIMITS_NAME`] are in force.
+        pub name: ServiceName,
+        /// Bytes of a request's head at most.
+        pub max_head_bytes: u64,
+        /// Bytes of a request's body at most.
+        pub max_body_bytes: u64,
+        /// Time for the head of a request, in milliseconds.
+        pub head_timeout_ms: u64,
+        /// Time that a connection may stay idle, in milliseconds.
+        pub idle_timeout_ms: u64,
     }
 
     /// A service with its share of a route's calls.
@@ -110,6 +141,8 @@
         Route(RouteSpec),
         /// A target policy.
         Policy(PolicySpec),
+        /// Limits on callers.
+        Limits(LimitsSpec),
     }
 }
 
@@ -123,6 +156,8 @@
     Route,
     /// A target policy.
     Policy,
+    /// Limits on callers.
+    Limits,
 }
 
 /// The class under which a call waits at a gate; the first is served first.
@@ -161,6 +196,7 @@
             Resource::Service(spec) => ResourceKey::new(ResourceKind::Service, spec.name.as_str()),
             Resource::Route(spec) => ResourceKey::new(ResourceKind::Route, spec.name.as_str()),
             Resource::Policy(spec) => ResourceKey::new(ResourceKind::Policy, spec.service.as_str()),
+            Resource::Limits(spec) => ResourceKey::new(ResourceKind::Limits, spec.name.as_str()),
         }
     }
 }
@@ -187,6 +223,7 @@
             ResourceKind::Service => "service",
             ResourceKind::Route => "route",
             ResourceKind::Policy => "policy",
+            ResourceKind::Limits => "limits",
         })
     }
 }
@@ -199,8 +236,9 @@
             "service" | "services" => Ok(ResourceKind::Service),
             "route" | "routes" => Ok(ResourceKind::Route),
             "policy" | "policies" => Ok(ResourceKind::Policy),
+            "limits" => Ok(ResourceKind::Limits),
             _ => Err(format!(
-                "unknown kind {text:?}, allowed are service, route and policy"
+                "unknown kind {text:?}, allowed are service, route, policy and limits"
             )),
         }
     }
@@ -233,6 +271,20 @@
     pub fn deadline(&self) -> Duration {
         Duration::from_millis(self.deadline_ms)
     }
+
+    /// Returns the time within which an answer is worth most: the deadline when
+    /// the route names none.
+    pub fn target_latency(&self) -> Duration {
+        self.target_latency_ms
+            .map_or(self.deadline(), Duration::from_millis)
+    }
+}
+
+impl LimitsSpec {
+    /// Returns the time that a connection may stay idle.
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms)
+    }
 }
 
 impl ServiceSpec {
--- a/src/config/validate.rs
+++ b/src/config/validate.rs
@@ -13,8 +13,8 @@
 use crate::config::change::Expectation;
 use crate::config::fold::HeldResource;
 use crate::config::resource::{
-    MAX_DEADLINE_MS, MAX_SLOTS, PolicySpec, Resource, ResourceKey, ResourceKind, RouteSpec,
-    ServiceSpec,
+    LIMITS_NAME, LimitsSpec, MAX_DEADLINE_MS, MAX_SLOTS, PolicySpec, Resource, ResourceKey,
+    ResourceKind, RouteSpec, ServiceSpec,
 };
 use crate::ids::{Revision, ServiceName};
 
@@ -120,12 +120,10 @@
         match &held.resource {
             Resource::Service(spec) => check_service(key, spec)?,
             Resource::Policy(spec) => check_policy(key, spec, resources)?,
+            Resource::Limits(spec) => check_limits(key, spec)?,
             Resource::Route(spec) => {
                 check_route(key, spec, resources)?;
-                let place = (
-                    spec.host.clone(),
-                    normal_path(spec.path.as_str()).to_owned(),
-                );
+                let place = (spec.host.clone(), match_path(spec).to_owned());
                 if let Some(other) = matches.insert(place, key.clone()) {
                     return Err(Rejection::SameMatch {
                         one: other,
@@ -144,6 +142,15 @@
     path.strip_suffix('/').unwrap_or(path)
 }
 
+/// Returns what two routes must not share besides their host.
+fn match_path(spec: &RouteSpec) -> &str {
+    if spec.only_below {
+        spec.path.as_str()
+    } else {
+        normal_path(spec.path.as_str())
+    }
+}
+
 fn check_service(key: &ResourceKey, spec: &ServiceSpec) -> Result<(), Rejection> {
     let slots = spec.max_slots.0;
     require(
@@ -187,7 +194,32 @@
         "max_concurrent",
         "1 or more",
         spec.max_concurrent != Some(0),
-    )
+    )?;
+    require(
+        key,
+        "max_attempts",
+        "1 or more",
+        spec.max_attempts != Some(0),
+    )?;
+    let is_reachable = spec
+        .target_latency_ms
+        .is_none_or(|time| (1..=spec.deadline_ms).contains(&time));
+    require(key, "target_latency_ms", "1 to deadline_ms", is_reachable)
+}
+
+fn check_limits(key: &ResourceKey, spec: &LimitsSpec) -> Result<(), Rejection> {
+    require(key, "name", LIMITS_NAME, spec.name.as_str() == LIMITS_NAME)?;
+    require(
+        key,
+        "max_head_bytes",
+        "256 or more",
+        spec.max_head_bytes >= 256,
+    )?;
+    require(key, "max_body_bytes", "1 or more", spec.max_body_bytes > 0)?;
+    let head = (1..=MAX_DEADLINE_MS).contains(&spec.head_timeout_ms);
+    require(key, "head_timeout_ms", "1 to 3600000", head)?;
+    let idle = (1..=MAX_DEADLINE_MS).contains(&spec.idle_timeout_ms);
+    require(key, "idle_timeout_ms", "1 to 3600000", idle)
 }
 
 fn check_policy(
--- a/src/config/view.rs
+++ b/src/config/view.rs
@@ -13,7 +13,7 @@
 use arc_swap::ArcSwap;
 
 use crate::config::fold::{ChainHash, ConfigState};
-use crate::config::resource::{PolicySpec, Resource, RouteSpec, ServiceSpec};
+use crate::config::resource::{LimitsSpec, PolicySpec, Resource, RouteSpec, ServiceSpec};
 use crate::config::validate::{ResourceMap, normal_path};
 use crate::error::ViewError;
 use crate::ids::{ConfigVersion, DataCentre, Incarnation, NodeAddress, RegionName, ServiceName};
@@ -49,6 +49,8 @@
     pub resources: ResourceMap,
     /// Services by name.
     pub services: BTreeMap<ServiceName, Arc<ServiceEntry>>,
+    /// Limits on callers, if the configuration sets them.
+    pub limits: Option<LimitsSpec>,
     by_host: HashMap<String, Vec<Arc<RouteEntry>>>,
     any_host: Vec<Arc<RouteEntry>>,
 }
@@ -63,10 +65,18 @@
                 policies.insert(policy.service.clone(), policy.clone());
             }
         }
+        let limits = state
+            .resources()
+            .values()
+            .find_map(|held| match &held.resource {
+                Resource::Limits(limits) => Some(limits.clone()),
+                _ => None,
+            });
         let mut view = Self {
             version: state.version(),
             chain: state.chain(),
             resources: state.resources().clone(),
+            limits,
             ..Self::default()
         };
         for held in state.resources().values() {
@@ -149,7 +159,7 @@
             .unwrap_or_default();
         own.iter()
             .chain(&self.any_host)
-            .find(|route| covers(route.spec.path.as_str(), path))
+            .find(|route| covers(&route.spec, path))
     }
 
     /// Returns the same routes and services at a later version, for a record
@@ -168,8 +178,11 @@
     }
 }
 
-fn covers(prefix: &str, path: &str) -> bool {
-    match path.strip_prefix(normal_path(prefix)) {
+fn covers(spec: &RouteSpec, path: &str) -> bool {
+    if spec.only_below {
+        return path.starts_with(spec.path.as_str());
+    }
+    match path.strip_prefix(normal_path(spec.path.as_str())) {
         Some(rest) => rest.is_empty() || rest.starts_with('/'),
         None => false,
     }
--- a/src/gate/ledger.rs
+++ b/src/gate/ledger.rs
@@ -228,6 +228,12 @@
         self.end_with(end);
     }
 
+    /// Ends a started call of which its target said that it did not run it.
+    pub fn end_unrun(mut self, reason: RefusalReason) {
+        self.is_started = false;
+        self.end_with(CallEnd::Refused(reason));
+    }
+
     fn end_with(&mut self, end: CallEnd) {
         self.is_ended = true;
         let is_refusal = matches!(end, CallEnd::Refused(_));
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! See [docs/DESIGN.md](../../docs/DESIGN.md#5-the-request-path).
 
+pub mod announce;
 pub mod claim;
 pub mod ledger;
 pub mod outcome;
--- a/src/gate/outcome.rs
+++ b/src/gate/outcome.rs
@@ -56,6 +56,8 @@
     TargetLost,
     /// The request is malformed or over a bound.
     BadRequest,
+    /// The target said that it did not run the call.
+    TargetBusy,
 }
 
 impl CallOutcome {
@@ -88,7 +90,7 @@
     }
 }
 
-const REASONS: [(RefusalReason, &str); 15] = [
+const REASONS: [(RefusalReason, &str); 16] = [
     (RefusalReason::Saturated, "saturated"),
     (RefusalReason::Deadline, "deadline"),
     (RefusalReason::Draining, "draining"),
@@ -104,6 +106,7 @@
     (RefusalReason::GateLost, "gate-lost"),
     (RefusalReason::TargetLost, "target-lost"),
     (RefusalReason::BadRequest, "bad-request"),
+    (RefusalReason::TargetBusy, "target-busy"),
 ];
 
 impl RefusalReason {
@@ -116,6 +119,18 @@
             .unwrap_or_default()
     }
 
+    /// Tells whether a call that ended so may have reached a target, so that
+    /// sending it again is work for a second one.
+    pub fn has_reached_target(self) -> bool {
+        matches!(
+            self,
+            RefusalReason::GateLost
+                | RefusalReason::TargetLost
+                | RefusalReason::TargetBusy
+                | RefusalReason::Deadline
+        )
+    }
+
     /// Tells whether another target may do better.
     pub fn is_worth_another_target(self) -> bool {
         matches!(
@@ -128,6 +143,7 @@
                 | RefusalReason::NotReady
                 | RefusalReason::GateLost
                 | RefusalReason::TargetLost
+                | RefusalReason::TargetBusy
         )
     }
 }
--- a/src/gate/slots.rs
+++ b/src/gate/slots.rs
@@ -15,6 +15,7 @@
 use crate::clock::{SharedClock, lock};
 use crate::config::resource::CallClass;
 use crate::gate::outcome::RefusalReason;
+use crate::ids::CallPriority;
 use crate::invariant::{Rule, check};
 
 /// Waiting calls allowed for each slot.
@@ -23,7 +24,21 @@
 /// Share of the running mean that a new sample gets is 1 / this.
 const MEAN_WEIGHT: u32 = 8;
 
-type WaitKey = (CallClass, Instant, u64);
+/// The order in which calls wait: by class, then by priority.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueRank {
+    class: CallClass,
+    priority: CallPriority,
+}
+
+impl QueueRank {
+    /// Returns the rank of a call.
+    pub fn new(class: CallClass, priority: CallPriority) -> Self {
+        Self { class, priority }
+    }
+}
+
+type WaitKey = (QueueRank, Instant, u64);
 
 #[derive(Debug)]
 struct GateState {
@@ -58,6 +73,21 @@
     pub busy: usize,
     /// Calls waiting.
     pub waiting: usize,
+    /// Mean time that a call holds its slot.
+    pub mean_run: Duration,
+}
+
+impl GateLoad {
+    /// Returns the time after which one more call can expect a slot.
+    pub fn room_after(&self) -> Duration {
+        if self.busy < self.slots && self.waiting == 0 {
+            return Duration::ZERO;
+        }
+        // Of `slots` running calls one ends every `mean_run / slots`.
+        let slots = u32::try_from(self.slots.max(1)).unwrap_or(u32::MAX);
+        let ahead = u32::try_from(self.waiting + 1).unwrap_or(u32::MAX);
+        self.mean_run / slots * ahead
+    }
 }
 
 impl SlotGate {
@@ -106,6 +136,7 @@
             slots: state.slots,
             busy: state.busy,
             waiting: state.waiting.len(),
+            mean_run: state.mean_run,
         }
     }
 
@@ -119,14 +150,28 @@
         class: CallClass,
         deadline: Instant,
     ) -> Result<SlotPermit, RefusalReason> {
-        let receiver = match self.try_enter(class, deadline)? {
+        let rank = QueueRank::new(class, CallPriority::default());
+        self.acquire_ranked(rank, deadline).await
+    }
+
+    /// Waits for a slot, in the order of `rank`.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Self::acquire`].
+    pub async fn acquire_ranked(
+        &self,
+        rank: QueueRank,
+        deadline: Instant,
+    ) -> Result<SlotPermit, RefusalReason> {
+        let receiver = match self.try_enter(rank, deadline)? {
             Entry::Admitted(permit) => return Ok(permit),
             Entry::Waiting(receiver) => receiver,
         };
         receiver.await.unwrap_or(Err(RefusalReason::Draining))
     }
 
-    fn try_enter(&self, class: CallClass, deadline: Instant) -> Result<Entry, RefusalReason> {
+    fn try_enter(&self, rank: QueueRank, deadline: Instant) -> Result<Entry, RefusalReason> {
         let now = self.clock.now();
         let mut state = lock(&self.state);
         if state.is_draining {
@@ -139,15 +184,15 @@
             state.busy += 1;
             return Ok(Entry::Admitted(self.permit(now)));
         }
-        let ahead = state.waiting.range(..(class, deadline, u64::MAX)).count();
+        let ahead = state.waiting.range(..(rank, deadline, u64::MAX)).count();
         if now + state.expected_wait(ahead) > deadline {
             return Err(RefusalReason::Saturated);
         }
-        state.make_room(class, deadline)?;
+        state.make_room(rank, deadline)?;
         let (sender, receiver) = oneshot::channel();
         let ticket = state.next_ticket;
         state.next_ticket += 1;
-        state.waiting.insert((class, deadline, ticket), sender);
+        state.waiting.insert((rank, deadline, ticket), sender);
         Ok(Entry::Waiting(receiver))
     }
 
@@ -199,7 +244,7 @@
     }
 
     /// Refuses the newcomer or the last of the queue, whichever is served later.
-    fn make_room(&mut self, class: CallClass, deadline: Instant) -> Result<(), RefusalReason> {
+    fn make_room(&mut self, rank: QueueRank, deadline: Instant) -> Result<(), RefusalReason> {
         // A caller that gave up must not take the place of one that waits.
         self.waiting.retain(|_, sender| !sender.is_closed());
         if self.waiting.len() < self.slots.max(1) * QUEUE_PER_SLOT {
@@ -208,8 +253,8 @@
         let Some(last) = self.waiting.last_entry() else {
             return Ok(());
         };
-        let (last_class, last_deadline, _) = *last.key();
-        if (last_class, last_deadline) <= (class, deadline) {
+        let (last_rank, last_deadline, _) = *last.key();
+        if (last_rank, last_deadline) <= (rank, deadline) {
             return Err(RefusalReason::Saturated);
         }
         let _ = last.remove().send(Err(RefusalReason::Saturated));
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -39,6 +39,8 @@
     SlotCount(u16);
     /// The share of a whole in percent, 0 to 100.
     Percent(u8);
+    /// The rank of a call among those that wait; 0 is served first.
+    CallPriority(u8);
 }
 
 hex_type! {
@@ -61,6 +63,8 @@
     DataCentre, check_name;
     /// The name of a region, which holds one or more data centres.
     RegionName, check_name;
+    /// The name that a target has for one of its lives.
+    InstanceId, check_name;
     /// Who asked for a change.
     AuthorName, check_name;
     /// A host name that a route matches.
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -10,6 +10,7 @@
 //!
 //! See [docs/DESIGN.md](../../docs/DESIGN.md#4-membership).
 
+pub mod directory;
 pub mod probe;
 pub mod record;
 pub mod relay;
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -17,9 +17,60 @@
 /// Time over which unused retries are kept.
 pub const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 
+/// The retries that all nodes together may add for one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryLimit {
+    /// Retries as a share of the calls, 0 to 1.
+    pub ratio: f64,
+    /// Retries in one window at any rate of calls, by all nodes together.
+    pub slack: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+/// Part of a shared limit that is used. A retry makes its own calls again, and
+/// those count as retries of other services, which no node here can see.
+const SHARED_USE: f64 = 0.5;
+
+/// Least number of retries that one node keeps of a shared slack.
+const LEAST_SHARE: f64 = 2.0;
+
+/// How the tokens of one node are earned and kept.
+#[derive(Debug, Clone, Copy)]
+struct TokenRate {
+    floor_per_second: f64,
+    floor: f64,
+    most: f64,
+}
+
+impl TokenRate {
+    fn alone() -> Self {
+        Self {
+            floor_per_second: FLOOR_PER_SECOND,
+            floor: FLOOR_PER_SECOND * BUDGET_WINDOW.as_secs_f64(),
+            most: MOST_TOKENS,
+        }
+    }
+
+    /// Returns the share of one of `members` nodes. Half of the slack is earned
+    /// over time and half is kept for a burst, so that the two together stay
+    /// within it when all nodes spend theirs in one window.
+    fn share_of(limit: RetryLimit, members: usize) -> Self {
+        let share = limit.slack * SHARED_USE / members.max(1) as f64;
+        let floor_per_second = share / limit.window.as_secs_f64().max(1.0);
+        let floor = share.max(LEAST_SHARE);
+        Self {
+            floor_per_second,
+            floor,
+            most: floor,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct BudgetState {
     tokens: f64,
+    rate: TokenRate,
     updated: Instant,
 }
 
@@ -27,6 +78,7 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     state: Mutex<BudgetState>,
+    limit: Option<RetryLimit>,
     clock: SharedClock,
 }
 
@@ -37,16 +89,43 @@
         Self {
             state: Mutex::new(BudgetState {
                 tokens: FLOOR_PER_SECOND * BUDGET_WINDOW.as_secs_f64(),
+                rate: TokenRate::alone(),
                 updated,
             }),
+            limit: None,
+            clock,
+        }
+    }
+
+    /// Returns the share that one of `members` nodes has of a limit on all.
+    pub fn shared(clock: SharedClock, limit: RetryLimit, members: usize) -> Self {
+        let rate = TokenRate::share_of(limit, members);
+        Self {
+            state: Mutex::new(BudgetState {
+                tokens: rate.floor,
+                rate,
+                updated: clock.now(),
+            }),
+            limit: Some(limit),
             clock,
         }
     }
 
+    /// Takes note of how many nodes share the limit.
+    pub fn set_members(&self, members: usize) {
+        if let Some(limit) = self.limit {
+            lock(&self.state).rate = TokenRate::share_of(limit, members);
+        }
+    }
+
     /// Counts a first attempt, which earns a share of a retry.
     pub fn note_call(&self, share: Percent) {
+        let share = match self.limit {
+            Some(limit) => limit.ratio * SHARED_USE,
+            None => f64::from(share.0) / 100.0,
+        };
         let mut state = lock(&self.state);
-        state.tokens = (state.tokens + f64::from(share.0) / 100.0).min(MOST_TOKENS);
+        state.tokens = (state.tokens + share).min(state.rate.most.max(state.tokens));
     }
 
     /// Takes a retry from the budget; returns whether there was one.
@@ -55,9 +134,10 @@
         let mut state = lock(&self.state);
         let elapsed = now.duration_since(state.updated).as_secs_f64();
         state.updated = now;
-        let floor = FLOOR_PER_SECOND * BUDGET_WINDOW.as_secs_f64();
-        if state.tokens < floor {
-            state.tokens = (state.tokens + elapsed * FLOOR_PER_SECOND).min(floor);
+        let rate = state.rate;
+        if state.tokens < rate.floor {
+            let earned = elapsed * rate.floor_per_second;
+            state.tokens = (state.tokens + earned).min(rate.floor);
         }
         if state.tokens < 1.0 {
             return false;
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -126,7 +126,7 @@
     TargetChoice { chosen, candidates }
 }
 
-fn judge(
+pub(crate) fn judge(
     place: &NodePlace,
     target: &TargetEntry,
     load: &mut ServiceLoad,
--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -19,6 +19,13 @@
 /// Longest ejection.
 pub const LONGEST_EJECTION: Duration = Duration::from_secs(60);
 
+/// Share of the failures' mean that a new sample gets: three failures in a row
+/// tell a failing target from one with a rare error.
+const FAULT_WEIGHT: f64 = 0.25;
+
+/// Time in which what is held against a target halves.
+const FAULT_HALF_LIFE: Duration = Duration::from_secs(2);
+
 /// Share of the latency mean that a new sample gets.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -38,6 +45,33 @@
     ejections: u32,
     ejected_until: Option<Instant>,
     full_until: Option<Instant>,
+    mean_run: Option<Duration>,
+    faults: FaultShare,
+}
+
+/// The share of calls that failed lately. It fades, so that a target which is
+/// passed over for its failures is tried again.
+#[derive(Debug, Clone, Copy, Default)]
+struct FaultShare {
+    share: f64,
+    updated: Option<Instant>,
+}
+
+impl FaultShare {
+    fn at(self, now: Instant) -> f64 {
+        let Some(updated) = self.updated else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(updated).as_secs_f64();
+        self.share * 0.5_f64.powf(age / FAULT_HALF_LIFE.as_secs_f64())
+    }
+
+    fn note(&mut self, is_fault: bool, now: Instant) {
+        let held = self.at(now);
+        let sample = if is_fault { 1.0 } else { 0.0 };
+        self.share = held + (sample - held) * FAULT_WEIGHT;
+        self.updated = Some(now);
+    }
 }
 
 impl TargetLoad {
@@ -51,9 +85,21 @@
             ejections: 0,
             ejected_until: None,
             full_until: None,
+            mean_run: None,
+            faults: FaultShare::default(),
         }
     }
 
+    /// Returns the mean time of a run that the gate last reported.
+    pub fn mean_run(&self) -> Option<Duration> {
+        self.mean_run
+    }
+
+    /// Returns the share of calls that failed lately, from 0 to 1.
+    pub fn fault_share(&self, now: Instant) -> f64 {
+        self.faults.at(now)
+    }
+
     /// Returns the calls that the target is believed to have.
     pub fn busy(&self, now: Instant) -> u32 {
         match self.report {
@@ -86,6 +132,10 @@
     Refused,
     /// The target or its gate could not be reached or lost the exchange.
     Failed,
+    /// The target answered with a failure or turned the call away.
+    Faulty,
+    /// The gate could not be reached and is passed over for a time.
+    Unreachable(Duration),
 }
 
 /// What a node saw of the targets of one service.
@@ -137,6 +187,13 @@
         }
     }
 
+    /// Takes the mean time of a run that a gate reported with its answer.
+    pub fn note_speed(&mut self, node: NodeAddress, mean_run: Duration) {
+        if let Some(load) = self.targets.get_mut(&node) {
+            load.mean_run = Some(mean_run).filter(|run| !run.is_zero());
+        }
+    }
+
     /// Takes the result of an attempt, and ejects the target when it failed
     /// too often. At most the policy's share of `all` targets is ejected.
     /// Returns the ejection time when it ejects.
@@ -151,6 +208,18 @@
     ) -> Option<Duration> {
         let load = self.get(target);
         match result {
+            AttemptResult::Answered => load.faults.note(false, now),
+            AttemptResult::Failed | AttemptResult::Faulty | AttemptResult::Unreachable(_) => {
+                load.faults.note(true, now);
+            }
+            AttemptResult::Full | AttemptResult::Refused => {}
+        }
+        match result {
+            AttemptResult::Faulty => None,
+            AttemptResult::Unreachable(time) => {
+                load.ejected_until = Some(now + time);
+                Some(time)
+            }
             AttemptResult::Answered => {
                 let sample = took.as_secs_f64();
                 load.latency += (sample - load.latency) * LATENCY_WEIGHT;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -9,3 +9,5 @@
 pub mod choose;
 pub mod limit;
 pub mod load;
+pub mod place;
+pub mod size;
--- /dev/null
+++ b/src/route/place.rs
@@ -0,0 +1,205 @@
+//! The place of a call whose route says when its answer is worth most.
+//!
+//! The load pattern: targets differ in speed by a factor of three, links
+//! between data centres are billed by volume, and the load of one data centre
+//! rises above what its own targets can take in time. Going to the least loaded
+//! target everywhere makes most bytes cross a billed link; staying near until
+//! the near targets are full makes calls late. So each target is given a cost:
+//! what its distance costs for an answer of the usual size, and the part of the
+//! call's value that is likely lost by being late there. The cheapest wins.
+//!
+//! The trade-off against two random choices: every node looks at all targets of
+//! a service, and nodes with the same picture would all choose the same one.
+//! Their distances differ, so their costs do, and a little noise does the rest.
+
+use std::time::{Duration, Instant};
+
+use rand::{Rng, RngExt};
+
+use crate::config::resource::PolicySpec;
+use crate::config::view::TargetEntry;
+use crate::ids::NodeAddress;
+use crate::route::choose::{
+    CandidateVerdict, NodePlace, TargetCandidate, TargetChoice, judge, warm_share,
+};
+use crate::route::load::ServiceLoad;
+
+/// Share of a call's value that a kilobyte costs by distance: none within the
+/// data centre, little within the region, most between regions. The order of
+/// size is that of links which are billed by volume.
+const PRICE_PER_KB: [f64; 3] = [0.0, 0.01, 0.04];
+
+/// Bytes of heads that a call moves besides the answer's body.
+const HEAD_BYTES: f64 = 1_000.0;
+
+/// Round trips by distance, with the work of two more nodes.
+const ROUND_TRIP: [Duration; 3] = [
+    Duration::from_micros(500),
+    Duration::from_millis(4),
+    Duration::from_millis(18),
+];
+
+/// Share of a call's value that a late answer still has.
+const LATE_VALUE: f64 = 0.3;
+
+/// Spread of run times around the expected one, as a share of it.
+const RUN_SPREAD: f64 = 0.35;
+
+/// How much longer a run takes on a target with all slots in use.
+const CROWD_FACTOR: f64 = 0.4;
+
+/// Share of the value that is put at risk by a target that always fails: one
+/// more attempt is likely, and its time.
+const FAULT_COST: f64 = 0.6;
+
+/// Cost of a target whose node is suspected to be dead.
+const SUSPECT_COST: f64 = 0.5;
+
+/// Share of the value that the whole target latency costs: of two targets that
+/// are both in time the faster one wins.
+const TIME_COST: f64 = 0.03;
+
+/// Largest random cost.
+const NOISE: f64 = 0.01;
+
+/// What a call asks of its place.
+#[derive(Debug, Clone, Copy)]
+pub struct CallDemand {
+    /// Time left within which an answer is worth most.
+    pub aim: Duration,
+    /// Time left until no answer is worth anything.
+    pub deadline: Duration,
+    /// Expected size of the answer's body in bytes.
+    pub answer_bytes: f64,
+    /// Expected time of a run on a target of mean speed.
+    pub run: Duration,
+}
+
+/// One attempt that is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacedCall<'a> {
+    /// What the call asks.
+    pub demand: &'a CallDemand,
+    /// Nodes that had an attempt already.
+    pub tried: &'a [NodeAddress],
+}
+
+/// Chooses the target with the least cost.
+pub fn place_call<R>(
+    place: &NodePlace,
+    targets: &[TargetEntry],
+    policy: &PolicySpec,
+    load: &mut ServiceLoad,
+    call: PlacedCall<'_>,
+    now: Instant,
+    rng: &mut R,
+) -> TargetChoice
+where
+    R: Rng,
+{
+    let mut candidates = Vec::with_capacity(targets.len());
+    for target in targets {
+        candidates.push(judge(place, target, load, call.tried, now));
+    }
+    let mean = mean_run(targets, load);
+    let mut costs = Vec::with_capacity(targets.len());
+    for (target, candidate) in targets.iter().zip(&candidates) {
+        let run = expected_run(target, call.demand, mean, load);
+        let mut cost = cost(candidate, call.demand, run);
+        cost += load.get(target).fault_share(now) * FAULT_COST;
+        cost += cold_cost(target, policy, now);
+        if target.is_suspect {
+            cost += SUSPECT_COST;
+        }
+        costs.push(cost + rng.random_range(0.0..NOISE));
+    }
+    let chosen = cheapest(&candidates, &costs);
+    if let Some(chosen) = chosen {
+        candidates[chosen].verdict = CandidateVerdict::Chosen;
+    }
+    TargetChoice { chosen, candidates }
+}
+
+/// Returns the mean run of the targets that reported theirs.
+fn mean_run(targets: &[TargetEntry], load: &mut ServiceLoad) -> Option<Duration> {
+    let mut sum = Duration::ZERO;
+    let mut count = 0;
+    for target in targets {
+        if let Some(run) = load.get(target).mean_run() {
+            sum += run;
+            count += 1;
+        }
+    }
+    (count > 0).then(|| sum / count)
+}
+
+/// Returns the time of a run on one target: that of the route, longer or
+/// shorter as the target is slower or faster than the mean.
+fn expected_run(
+    target: &TargetEntry,
+    demand: &CallDemand,
+    mean: Option<Duration>,
+    load: &mut ServiceLoad,
+) -> Duration {
+    let own = load.get(target).mean_run();
+    match (own, mean) {
+        (Some(own), Some(mean)) => demand.run.mul_f64(own.as_secs_f64() / mean.as_secs_f64()),
+        _ => demand.run,
+    }
+}
+
+/// Returns the cost of a call at one target, as a share of its value.
+pub fn cost(candidate: &TargetCandidate, demand: &CallDemand, run: Duration) -> f64 {
+    let distance = usize::from(candidate.distance).min(PRICE_PER_KB.len() - 1);
+    let bytes = demand.answer_bytes + HEAD_BYTES;
+    let transfer = PRICE_PER_KB[distance] * bytes / 1024.0;
+    let time = ROUND_TRIP[distance] + completion(candidate, run);
+    let late = chance_over(time, demand.aim) * (1.0 - LATE_VALUE);
+    let lost = chance_over(time, demand.deadline) * LATE_VALUE;
+    let aim = demand.aim.as_secs_f64().max(0.001);
+    let slow = (time.as_secs_f64() / aim).min(1.0) * TIME_COST;
+    transfer + late + lost + slow
+}
+
+/// Returns the expected time until a call at a target ends.
+fn completion(candidate: &TargetCandidate, run: Duration) -> Duration {
+    let slots = f64::from(candidate.slots.max(1));
+    let busy = f64::from(candidate.busy);
+    let fill = ((busy + 1.0) / slots).min(1.0);
+    let waiting = (busy + 1.0 - slots).max(0.0);
+    run.mul_f64(1.0 + CROWD_FACTOR * fill * fill + waiting / slots)
+}
+
+/// Returns the chance that a time which is expected to be `time` is more than
+/// `limit`, from 0 to 1.
+fn chance_over(time: Duration, limit: Duration) -> f64 {
+    let time = time.as_secs_f64();
+    let spread = (time * RUN_SPREAD).max(0.001);
+    let distance = (time - limit.as_secs_f64()) / spread;
+    1.0 / (1.0 + (-2.0 * distance).exp())
+}
+
+/// Returns the cost of a target that has just come up and runs slowly.
+fn cold_cost(target: &TargetEntry, policy: &PolicySpec, now: Instant) -> f64 {
+    let warm = warm_share(now.saturating_duration_since(target.since), policy);
+    (1.0 - warm) * TIME_COST
+}
+
+/// Returns the cheapest target that can be chosen; full ones and then ejected
+/// ones where there is no other, since an attempt that may be refused is better
+/// than none.
+fn cheapest(candidates: &[TargetCandidate], costs: &[f64]) -> Option<usize> {
+    for verdict in [
+        CandidateVerdict::Eligible,
+        CandidateVerdict::Full,
+        CandidateVerdict::Ejected,
+    ] {
+        let found = (0..candidates.len())
+            .filter(|index| candidates[*index].verdict == verdict)
+            .min_by(|one, other| costs[*one].total_cmp(&costs[*other]));
+        if found.is_some() {
+            return found;
+        }
+    }
+    None
+}
--- a/wisteriaturnd/src/admin/change.rs
+++ b/wisteriaturnd/src/admin/change.rs
@@ -172,6 +172,7 @@
             ApplyError::Encoding(_) => StatusCode::PAYLOAD_TOO_LARGE,
             ApplyError::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
             ApplyError::Unknown => StatusCode::GATEWAY_TIMEOUT,
+            ApplyError::ReadOnly => StatusCode::METHOD_NOT_ALLOWED,
         }
     }
 }
@@ -203,6 +204,9 @@
 ///
 /// [`ApplyError`] says whether the change may still come into force.
 pub async fn apply(node: &NodeHandle, change: &Change) -> Result<ChangeReport, ApplyError> {
+    if node.documents.is_some() {
+        return Err(ApplyError::ReadOnly);
+    }
     if let Some(report) = report(node, change.id) {
         return Ok(report);
     }
--- a/wisteriaturnd/src/body.rs
+++ b/wisteriaturnd/src/body.rs
@@ -5,6 +5,8 @@
 //! can be sent again; a larger one is sent at most once.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -184,6 +186,51 @@
     }
 }
 
+/// A body that counts the bytes that pass.
+pub struct CountedBody {
+    inner: NodeBody,
+    bytes: Arc<AtomicU64>,
+}
+
+impl CountedBody {
+    /// Returns `inner`, which adds what passes to `bytes`.
+    pub fn new(inner: NodeBody, bytes: Arc<AtomicU64>) -> Self {
+        Self { inner, bytes }
+    }
+}
+
+impl std::fmt::Debug for CountedBody {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("CountedBody").finish_non_exhaustive()
+    }
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = ready!(Pin::new(&mut self.inner).poll_frame(context));
+        if let Some(Ok(frame)) = &frame
+            && let Some(data) = frame.data_ref()
+        {
+            self.bytes.fetch_add(data.len() as u64, Ordering::Relaxed);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// How a guarded body ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
--- /dev/null
+++ b/wisteriaturnd/src/directory.rs
@@ -0,0 +1,97 @@
+//! Finding other nodes through a directory.
+//!
+//! A node writes its entry when it starts and reads the others' until it knows
+//! somebody. From then on members tell each other; the directory is read again
+//! now and then, so that two halves which started apart find each other.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use wisteriaturn::clock::lock;
+use wisteriaturn::error::LogError;
+use wisteriaturn::ids::NodeAddress;
+use wisteriaturn::member::directory::DirectoryPort;
+use wisteriaturn::member::record::MemberRecord;
+use wisteriaturn::member::relay::snapshot_writer;
+
+use crate::node::NodeHandle;
+use crate::peer_client::merge_records;
+
+/// Pauses after a failed write or read grow between these bounds, with jitter.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
+
+/// Time between two reads by a node that knows others: reads are billed, and a
+/// split of the mesh is rare.
+const REFRESH_TIME: Duration = Duration::from_secs(60);
+
+/// Time that a member must have been gone before its entry is removed; well
+/// above a restart.
+const GONE_TIME: Duration = Duration::from_secs(60);
+
+/// Writes the own entry and keeps looking for others while the node runs.
+pub async fn directory_task(node: NodeHandle, port: DirectoryPort) {
+    let mut backoff = BACKOFF.0;
+    while let Err(error) = publish(&node, &port).await {
+        log::warn!(event = "directory-write-failed", error:% = error; "member");
+        tokio::time::sleep(jittered(backoff)).await;
+        backoff = (backoff * 2).min(BACKOFF.1);
+    }
+    loop {
+        tokio::time::sleep(jittered(REFRESH_TIME)).await;
+        match find(&node, &port).await {
+            Ok(records) => remove_gone(&node, &port, &records).await,
+            Err(error) => {
+                log::warn!(event = "directory-read-failed", error:% = error; "member");
+            }
+        }
+    }
+}
+
+async fn publish(node: &NodeHandle, port: &DirectoryPort) -> Result<(), LogError> {
+    let record = lock(&node.table).own().clone();
+    port.publish(record).await
+}
+
+/// Reads the directory and takes its entries as members, to be probed.
+///
+/// # Errors
+///
+/// [`LogError`] when the directory does not answer.
+pub async fn find(node: &NodeHandle, port: &DirectoryPort) -> Result<Vec<MemberRecord>, LogError> {
+    let records = port.list().await?;
+    log::info!(event = "directory-read", entries = records.len(); "member");
+    merge_records(node, records.clone());
+    Ok(records)
+}
+
+/// One node, the same in all tables that agree, removes entries of the dead.
+async fn remove_gone(node: &NodeHandle, port: &DirectoryPort, records: &[MemberRecord]) {
+    let gone: Vec<NodeAddress> = {
+        let table = lock(&node.table);
+        if snapshot_writer(&table) != Some(node.address()) {
+            return;
+        }
+        let now = node.clock.now();
+        records
+            .iter()
+            .filter_map(|record| table.get(record.address))
+            .filter(|entry| {
+                !entry.record.is_live() && now.saturating_duration_since(entry.changed) >= GONE_TIME
+            })
+            .map(|entry| entry.record.address)
+            .collect()
+    };
+    for address in gone {
+        match port.remove(address).await {
+            Ok(()) => log::info!(event = "directory-removed", member:% = address; "member"),
+            Err(error) => {
+                log::warn!(event = "directory-write-failed", error:% = error; "member");
+                return;
+            }
+        }
+    }
+}
+
+fn jittered(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(0.7..1.3))
+}
--- a/wisteriaturnd/src/error.rs
+++ b/wisteriaturnd/src/error.rs
@@ -94,6 +94,8 @@
     Refused(LogError),
     /// The record may have been written; its change id can be asked about.
     Unknown,
+    /// The configuration is written at its source, and only read here.
+    ReadOnly,
 }
 
 impl fmt::Display for ApplyError {
@@ -101,6 +103,9 @@
         match self {
             ApplyError::Encoding(error) => write!(f, "the change cannot be written: {error}"),
             ApplyError::Refused(error) => write!(f, "the change was not written: {error}"),
+            ApplyError::ReadOnly => {
+                f.write_str("the configuration is written at its source and only read here")
+            }
             ApplyError::Unknown => f.write_str("the log did not answer in time"),
         }
     }
--- a/wisteriaturnd/src/exchange.rs
+++ b/wisteriaturnd/src/exchange.rs
@@ -29,7 +29,10 @@
     request: Request<NodeBody>,
 ) -> Result<Response<Incoming>, ExchangeError> {
     match link.sender.try_send_request(request).await {
-        Ok(response) => Ok(response),
+        Ok(response) => {
+            link.note_keep_alive(response.headers());
+            Ok(response)
+        }
         Err(mut error) => match error.take_message() {
             Some(request) => Err(ExchangeError::Unsent(Box::new(request))),
             None => Err(ExchangeError::Lost(LinkError::Lost(
--- a/wisteriaturnd/src/gate/answer.rs
+++ b/wisteriaturnd/src/gate/answer.rs
@@ -1,5 +1,7 @@
 //! Answers that a node gives itself, and answers that were kept.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
@@ -9,6 +11,7 @@
 
 use crate::body::{NodeBody, full};
 use crate::headers;
+use crate::node::NodeState;
 
 /// Seconds after which a refused caller may come again.
 const RETRY_AFTER_SECONDS: &str = "1";
@@ -24,6 +27,35 @@
     }
 }
 
+impl NodeState {
+    /// Returns an answer to a caller without a target's, which says after how
+    /// long to come again where the call was not run.
+    pub fn refusal(
+        &self,
+        outcome: CallOutcome,
+        reason: RefusalReason,
+        after: Duration,
+    ) -> Response<NodeBody> {
+        let mut response = refusal(outcome, reason);
+        self.set_retry_after(&mut response, after);
+        response
+    }
+
+    /// Sets the time after which a refused caller may come again.
+    pub fn set_retry_after(&self, response: &mut Response<NodeBody>, after: Duration) {
+        if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        let seconds = after.as_secs_f64();
+        if self.edge.has_fractional_retry {
+            headers::set(response.headers_mut(), RETRY_AFTER, format!("{seconds:.3}"));
+        } else {
+            let whole = seconds.ceil().max(1.0);
+            headers::set(response.headers_mut(), RETRY_AFTER, format!("{whole:.0}"));
+        }
+    }
+}
+
 /// Returns an answer without a target's.
 pub fn refusal(outcome: CallOutcome, reason: RefusalReason) -> Response<NodeBody> {
     let text = format!("{outcome}: {reason}\n");
--- a/wisteriaturnd/src/gate/mod.rs
+++ b/wisteriaturnd/src/gate/mod.rs
@@ -5,3 +5,4 @@
 pub mod crash;
 pub mod port;
 pub mod run;
+pub mod standing;
--- a/wisteriaturnd/src/gate/port.rs
+++ b/wisteriaturnd/src/gate/port.rs
@@ -30,6 +30,7 @@
     drop_cause: "hop-connections",
     head_bytes: 80 * 1024,
     headers: 120,
+    is_for_callers: false,
 };
 
 /// Longest wait for a call that runs when a node asks about it.
@@ -62,6 +63,10 @@
         Some(call) => {
             let mut request = request.map(boxed);
             headers::strip_mesh(request.headers_mut());
+            if let Some(request_id) = &call.request_id {
+                let name = node.edge.request_id.clone();
+                request.headers_mut().insert(name, request_id.clone());
+            }
             run::run(node, call, request).await
         }
         None => refusal(CallOutcome::NotRun, RefusalReason::BadRequest),
@@ -77,7 +82,13 @@
     Some(GateCall {
         call: headers::parsed(map, &headers::CALL)?,
         class: headers::parsed(map, &headers::CLASS)?,
-        deadline: CallDeadline::of_call(&node.clock, headers::deadline(map)?, None),
+        priority: headers::parsed(map, &headers::PRIORITY).unwrap_or_default(),
+        request_id: map.get(&node.edge.request_id).cloned(),
+        deadline: CallDeadline::of_call(
+            &node.clock,
+            headers::deadline(map, &headers::DEADLINE_MS)?,
+            None,
+        ),
         is_idempotent,
         fingerprint: headers::parsed(map, &headers::FINGERPRINT)?,
         key: key.map(|key| KeyHash::of_key(&service, key.as_bytes())),
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -7,9 +7,11 @@
 //! kept for a node that asks.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::header::ACCEPT_ENCODING;
 use hyper::{Request, Response};
 use tokio::time::timeout_at;
 use wisteriaturn::clock::lock;
@@ -17,7 +19,7 @@
 use wisteriaturn::gate::ledger::{BODY_LIMIT, CallEnd, CallTicket, KeptAnswer};
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::quarantine::RequestStanding;
-use wisteriaturn::gate::slots::SlotPermit;
+use wisteriaturn::gate::slots::{QueueRank, SlotPermit};
 use wisteriaturn::ids::KeyHash;
 use wisteriaturn::peer::message::InquiryAnswer;
 
@@ -27,17 +29,21 @@
 use crate::gate::answer::{inquiry_response, kept_response, refusal};
 use crate::gate::crash::{check_crash, note_end};
 use crate::gate::port;
+use crate::gate::standing::AnswerStanding;
 use crate::headers;
 use crate::hop::{self, ASK_INQUIRE, GateCall};
 use crate::node::{NodeHandle, NodeStage};
 use crate::pool::PooledLink;
 use crate::targets::{self, LocalTarget};
 
+/// Bytes of a target's refusal that are read to keep its connection.
+const REFUSAL_LIMIT: usize = 64 * 1024;
+
 /// What a run holds of its target.
 struct AdmittedRun {
     permit: SlotPermit,
     link: PooledLink,
-    address: SocketAddr,
+    target: Arc<LocalTarget>,
 }
 
 /// Runs a call, or refuses it. The answer carries its outcome and how full
@@ -59,11 +65,10 @@
     };
     if let Some(target) = node.targets.get(&service) {
         let load = target.gate.load();
-        headers::set(
-            response.headers_mut(),
-            headers::BUSY,
-            load.busy + load.waiting,
-        );
+        let map = response.headers_mut();
+        headers::set(map, headers::BUSY, load.busy + load.waiting);
+        headers::set(map, headers::MEAN_RUN_US, load.mean_run.as_micros());
+        headers::set(map, headers::ROOM_MS, load.room_after().as_millis());
     }
     response
 }
@@ -80,12 +85,15 @@
     let AdmittedRun {
         permit,
         link,
-        address,
+        target,
     } = admitted;
+    let address = target.address;
     node.metrics.target_runs.inc();
-    let (response, link) = match send(node, call, link, address, request).await {
-        Ok(answered) => answered,
-        Err(reason) => return lost(node, call, address, reason).await,
+    let (response, link) = match send(node, call, link, &target, request).await {
+        SendEnd::Answered(response, link) => (*response, link),
+        SendEnd::NotRun => return refusal(CallOutcome::NotRun, RefusalReason::TargetBusy),
+        SendEnd::Foreign => return refusal(CallOutcome::Unknown, RefusalReason::TargetLost),
+        SendEnd::Lost(reason) => return lost(node, call, address, reason).await,
     };
     let (mut parts, body) = response.into_parts();
     headers::strip_hop_by_hop(&mut parts.headers);
@@ -156,9 +164,10 @@
     let AdmittedRun {
         permit,
         link,
-        address,
+        target,
     } = admitted;
-    let sent = send(node, &call, link, address, request).await;
+    let address = target.address;
+    let sent = send(node, &call, link, &target, request).await;
     let run = StartedRun {
         node: node.clone(),
         call,
@@ -167,8 +176,10 @@
         address,
     };
     match sent {
-        Ok((response, link)) => run.deliver(response, link).await,
-        Err(reason) => run.lose(reason).await,
+        SendEnd::Answered(response, link) => run.deliver(*response, link).await,
+        SendEnd::NotRun => run.take_back(),
+        SendEnd::Foreign => run.lose_unchecked(),
+        SendEnd::Lost(reason) => run.lose(reason).await,
     }
 }
 
@@ -189,6 +200,24 @@
         lost(&self.node, &self.call, self.address, reason).await
     }
 
+    /// Ends a run whose exchange brought another call's answer. The target
+    /// lives, so there is no crash to look for.
+    fn lose_unchecked(self) -> Response<NodeBody> {
+        drop(self.permit);
+        self.ticket.end(CallEnd::Lost);
+        refusal(CallOutcome::Unknown, RefusalReason::TargetLost)
+    }
+
+    /// Ends a call of which its target said that it did not run it.
+    fn take_back(self) -> Response<NodeBody> {
+        drop(self.permit);
+        self.ticket.end_unrun(RefusalReason::TargetBusy);
+        if let Some(key) = self.call.key {
+            self.node.claims.release(&self.node, key, self.call.call);
+        }
+        refusal(CallOutcome::NotRun, RefusalReason::TargetBusy)
+    }
+
     /// Reads the answer, so that it can be kept until it is whole.
     async fn deliver(self, response: Response<Incoming>, link: PooledLink) -> Response<NodeBody> {
         let (parts, body) = response.into_parts();
@@ -259,7 +288,8 @@
         .get(&call.service)
         .ok_or(RefusalReason::NoTarget)?;
     let until = call.deadline.at();
-    let acquired = timeout_at(until.into(), target.gate.acquire(call.class, until)).await;
+    let rank = QueueRank::new(call.class, call.priority);
+    let acquired = timeout_at(until.into(), target.gate.acquire_ranked(rank, until)).await;
     let permit = acquired.map_err(|_| RefusalReason::Deadline)??;
     let waited = node.clock.now().duration_since(now);
     node.metrics.gate_wait_seconds.observe(waited.as_secs_f64());
@@ -270,7 +300,7 @@
     Ok(AdmittedRun {
         permit,
         link,
-        address: target.address,
+        target,
     })
 }
 
@@ -298,37 +328,105 @@
     }
 }
 
+/// How the exchange of a started call ended.
+enum SendEnd {
+    /// The target answered this call.
+    Answered(Box<Response<Incoming>>, PooledLink),
+    /// The target says that it did not run the call.
+    NotRun,
+    /// What came belongs to another call or did not come from the target.
+    Foreign,
+    /// The exchange was lost.
+    Lost(RefusalReason),
+}
+
 /// Sends a started call. A connection that the target had closed meanwhile
 /// took no byte, and the call goes out over a new one.
 async fn send(
     node: &NodeHandle,
     call: &GateCall,
     mut link: PooledLink,
-    address: SocketAddr,
+    target: &LocalTarget,
     mut request: Request<NodeBody>,
-) -> Result<(Response<Incoming>, PooledLink), RefusalReason> {
+) -> SendEnd {
+    let map = request.headers_mut();
     let left = call.deadline.remaining(node.clock.now()).as_millis();
-    headers::set(request.headers_mut(), headers::DEADLINE_MS, left);
-    headers::set(request.headers_mut(), headers::CALL, call.call);
+    headers::set(map, node.edge.deadline_ms.clone(), left);
+    headers::set(map, headers::CALL, call.call);
+    if let Some(instance) = &target.instance {
+        headers::set(map, node.edge.expected_instance.clone(), instance);
+    }
+    let may_encode = map.contains_key(ACCEPT_ENCODING);
     let until = call.deadline.at().into();
     loop {
         let sent = timeout_at(until, exchange::send(&mut link, request)).await;
         match sent {
-            Ok(Ok(response)) => return Ok((response, link)),
+            Ok(Ok(response)) => {
+                return judge(node, call, target, may_encode, response, link).await;
+            }
             Ok(Err(ExchangeError::Unsent(unsent))) if link.is_reused => {
                 request = *unsent;
-                link = node
-                    .target_pool
-                    .open(address)
-                    .await
-                    .map_err(|_| RefusalReason::TargetLost)?;
+                link = match node.target_pool.open(target.address).await {
+                    Ok(link) => link,
+                    Err(_) => return SendEnd::Lost(RefusalReason::TargetLost),
+                };
             }
-            Ok(Err(_)) => return Err(RefusalReason::TargetLost),
-            Err(_) => return Err(RefusalReason::Deadline),
+            Ok(Err(_)) => return SendEnd::Lost(RefusalReason::TargetLost),
+            Err(_) => return SendEnd::Lost(RefusalReason::Deadline),
+        }
+    }
+}
+
+/// Tells whether an answer is the target's own answer to this call.
+async fn judge(
+    node: &NodeHandle,
+    call: &GateCall,
+    target: &LocalTarget,
+    may_encode: bool,
+    response: Response<Incoming>,
+    link: PooledLink,
+) -> SendEnd {
+    let standing = AnswerStanding::of(&node.edge, call.request_id.as_ref(), may_encode, &response);
+    if standing == AnswerStanding::Own {
+        return SendEnd::Answered(Box::new(response), link);
+    }
+    log::warn!(
+        event = "answer-refused",
+        request:% = call.request_text(),
+        service:% = call.service,
+        target:% = target.address,
+        standing:% = standing.name(),
+        status = response.status().as_u16();
+        "gate"
+    );
+    match standing {
+        AnswerStanding::Own | AnswerStanding::Foreign => {
+            // The next answer on this connection may be ours, or anything.
+            node.target_pool.forget(target.address);
+            SendEnd::Foreign
+        }
+        AnswerStanding::NotRun => {
+            finish_refusal(node, response, link);
+            SendEnd::NotRun
+        }
+        AnswerStanding::OtherTarget => {
+            // Another target took the address over; it will announce itself.
+            targets::withdraw(node, &call.service).await;
+            SendEnd::NotRun
         }
     }
 }
 
+/// Reads the rest of a target's refusal, so that its connection can be kept.
+fn finish_refusal(node: &NodeHandle, response: Response<Incoming>, link: PooledLink) {
+    let stall = node.settings.tuning.stall_timeout;
+    let body = pooled_body(response.into_body(), link, &node.target_pool, stall, |_| ());
+    tokio::spawn(async move {
+        // A body that fails closes its connection, which is all there is to do.
+        let _ = RequestBody::read(body, REFUSAL_LIMIT).await;
+    });
+}
+
 /// Answers a call whose exchange with the target was lost.
 async fn lost(
     node: &NodeHandle,
--- a/wisteriaturnd/src/gossip.rs
+++ b/wisteriaturnd/src/gossip.rs
@@ -265,6 +265,7 @@
             table.iter().filter(|entry| entry.record.is_live()).count()
         };
         node.metrics.members.set(live as i64);
+        node.share_budgets();
         tokio::time::sleep(LEAST_INTERVAL).await;
     }
 }
--- a/wisteriaturnd/src/headers.rs
+++ b/wisteriaturnd/src/headers.rs
@@ -39,6 +39,48 @@
 /// Key under which a caller may send a call again.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// Rank of a call among those that wait; between nodes.
+pub const PRIORITY: HeaderName = HeaderName::from_static("wisteriaturn-priority");
+/// Mean time that a gate's target takes for a call, in microseconds; between nodes.
+pub const MEAN_RUN_US: HeaderName = HeaderName::from_static("wisteriaturn-mean-run-us");
+/// Time after which a gate expects room, in milliseconds; between nodes.
+pub const ROOM_MS: HeaderName = HeaderName::from_static("wisteriaturn-room-ms");
+
+/// The headers that callers and targets know, which differ between the places
+/// that a node runs in. What nodes tell each other has names of its own.
+#[derive(Debug, Clone)]
+pub struct EdgeNames {
+    /// Time that is left for a call, in milliseconds.
+    pub deadline_ms: HeaderName,
+    /// The caller's name for its attempt, which targets repeat.
+    pub request_id: HeaderName,
+    /// The target that is to run a call; another one refuses it.
+    pub expected_instance: HeaderName,
+    /// The service from whose VM a call came.
+    pub caller_service: HeaderName,
+    /// Says that a target did not run a call.
+    pub not_run: HeaderName,
+    /// Stands on every success of a target, where targets sign theirs.
+    pub answer_proof: Option<HeaderName>,
+    /// Whether callers read a `Retry-After` with a fraction.
+    pub has_fractional_retry: bool,
+}
+
+impl EdgeNames {
+    /// Returns the names of the product's own interface.
+    pub fn own() -> Self {
+        Self {
+            deadline_ms: DEADLINE_MS,
+            request_id: HeaderName::from_static("wisteriaturn-request-id"),
+            expected_instance: HeaderName::from_static("wisteriaturn-expected-instance"),
+            caller_service: HeaderName::from_static("wisteriaturn-caller-service"),
+            not_run: HeaderName::from_static("wisteriaturn-not-run"),
+            answer_proof: None,
+            has_fractional_retry: false,
+        }
+    }
+}
+
 /// Longest idempotency key in bytes.
 pub const KEY_LIMIT: usize = 256;
 
@@ -99,9 +141,9 @@
     text(headers, name).and_then(|text| text.parse().ok())
 }
 
-/// Returns the time that is left for a call.
-pub fn deadline(headers: &HeaderMap) -> Option<Duration> {
-    parsed::<u64>(headers, &DEADLINE_MS).map(Duration::from_millis)
+/// Returns the time that is left for a call, by a header of that name.
+pub fn deadline(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    parsed::<u64>(headers, name).map(Duration::from_millis)
 }
 
 /// Sets a header to the text of a value.
--- a/wisteriaturnd/src/hop.rs
+++ b/wisteriaturnd/src/hop.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::header::HOST;
+use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response};
 use tokio::time::{timeout, timeout_at};
 use wisteriaturn::clock::lock;
@@ -17,7 +17,9 @@
 use wisteriaturn::config::view::TargetEntry;
 use wisteriaturn::gate::ledger::BODY_LIMIT;
 use wisteriaturn::gate::outcome::RefusalReason;
-use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, LifeId, NodeAddress, ServiceName};
+use wisteriaturn::ids::{
+    CallId, CallPriority, Fingerprint, KeyHash, LifeId, NodeAddress, ServiceName,
+};
 use wisteriaturn::peer::message::{InquiryAnswer, PeerAnswer, PeerRequest, decode};
 use wisteriaturn::retry::deadline::CallDeadline;
 
@@ -25,6 +27,7 @@
 use crate::error::LinkError;
 use crate::exchange::{self, ExchangeError, pooled_body};
 use crate::headers;
+use crate::logs::Clean;
 use crate::metrics::TrafficKind;
 use crate::node::{NodeHandle, NodeState};
 use crate::peer_client;
@@ -52,6 +55,10 @@
     pub service: ServiceName,
     /// Class.
     pub class: CallClass,
+    /// Rank within the class.
+    pub priority: CallPriority,
+    /// The caller's name for its attempt.
+    pub request_id: Option<HeaderValue>,
     /// When the answer must be there.
     pub deadline: CallDeadline,
     /// Whether running it twice does no harm.
@@ -62,6 +69,14 @@
     pub key: Option<KeyHash>,
 }
 
+impl GateCall {
+    /// Returns the caller's name for its attempt, for log lines.
+    pub fn request_text(&self) -> Clean<'_> {
+        let text = self.request_id.as_ref().and_then(|id| id.to_str().ok());
+        Clean(text.unwrap_or_default())
+    }
+}
+
 /// What became of an attempt at another node.
 #[derive(Debug)]
 pub enum HopResult {
@@ -80,6 +95,7 @@
     headers::set(headers, headers::CALL, call.call);
     headers::set(headers, headers::SERVICE, &call.service);
     headers::set(headers, headers::CLASS, call.class.name());
+    headers::set(headers, headers::PRIORITY, call.priority);
     headers::set(headers, headers::IDEMPOTENT, call.is_idempotent);
     headers::set(headers, headers::FINGERPRINT, call.fingerprint);
 }
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -7,10 +7,14 @@
 //! sent again.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use hyper::body::Body;
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use rand::RngExt;
+use tokio::time::timeout_at;
 use wisteriaturn::clock::lock;
 use wisteriaturn::config::view::{RouteEntry, ServiceEntry, ServingView, TargetEntry};
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
@@ -20,17 +24,51 @@
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::route::choose::{TargetChoice, choose_target};
 use wisteriaturn::route::load::AttemptResult;
+use wisteriaturn::route::place::{CallDemand, PlacedCall, place_call};
 
 use crate::body::{GuardedBody, NodeBody, RequestBody, boxed, empty};
 use crate::gate::answer::{inquiry_response, refusal};
 use crate::gate::run;
+use crate::gossip;
 use crate::headers;
 use crate::hop::{self, GateCall, HopResult};
+use crate::logs::Clean;
 use crate::node::NodeHandle;
 
-/// Most attempts of one call.
+/// Most attempts of one call, those included that a gate refused.
 const ATTEMPT_LIMIT: usize = 4;
 
+/// Most targets that one call is sent to where its route does not say.
+const TARGET_LIMIT: u32 = 3;
+
+/// Bytes of an answer that are read before its head is passed on, so that an
+/// answer which breaks off can still be asked for elsewhere. Pages and tables
+/// fit; archives beyond it stream.
+const ANSWER_LIMIT: usize = 256 * 1024;
+
+/// Time after which a gate that has not answered is asked whether it lives:
+/// longer than most runs, so that few calls pay for a probe.
+const DOUBT_TIME: Duration = Duration::from_millis(400);
+
+/// Pause between two such questions.
+const DOUBT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time for the answer: well above the round trip between regions.
+const DOUBT_WAIT: Duration = Duration::from_millis(150);
+
+/// Questions in a row without an answer after which an attempt is given up; a
+/// single datagram may be lost.
+const DOUBT_LIMIT: u32 = 2;
+
+/// Time that a target is passed over after its gate could not be reached.
+const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
+
+/// Least time after which a refused caller may come again.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(20);
+
+/// When a caller may come again if no gate said when it expects room.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// A call with its route and all that an attempt needs.
 #[derive(Debug)]
 pub struct RoutedCall {
@@ -40,6 +78,10 @@
     pub route: Arc<RouteEntry>,
     /// The service chosen.
     pub service: Arc<ServiceEntry>,
+    /// The caller's name for its attempt.
+    pub request_id: Option<HeaderValue>,
+    /// When the call came.
+    pub arrived: Instant,
     /// When the answer must be there.
     pub deadline: CallDeadline,
     /// Whether running it twice does no harm.
@@ -54,40 +96,97 @@
     pub body: RequestBody,
 }
 
+impl RoutedCall {
+    fn request_text(&self) -> Clean<'_> {
+        let text = self.request_id.as_ref().and_then(|id| id.to_str().ok());
+        Clean(text.unwrap_or_default())
+    }
+}
+
 /// What an attempt led to.
 #[derive(Debug)]
 struct AttemptEnd {
     response: Response<NodeBody>,
     outcome: CallOutcome,
     reason: Option<RefusalReason>,
-    busy: Option<u32>,
+    report: GateReport,
     is_final: bool,
 }
 
+/// What a gate says of itself with each answer.
+#[derive(Debug, Clone, Copy, Default)]
+struct GateReport {
+    busy: Option<u32>,
+    mean_run: Option<Duration>,
+    room_after: Option<Duration>,
+}
+
+/// How often a call was tried.
+#[derive(Debug, Default)]
+struct AttemptCount {
+    tried: Vec<NodeAddress>,
+    reached: u32,
+    room_after: Option<Duration>,
+}
+
+impl AttemptEnd {
+    /// Tells whether the target answered with a failure of its own, which a
+    /// second one may spare the caller.
+    fn is_target_failure(&self) -> bool {
+        self.outcome == CallOutcome::Done && self.response.status().is_server_error()
+    }
+
+    fn has_reached_target(&self) -> bool {
+        self.outcome == CallOutcome::Done
+            || self.reason.is_some_and(RefusalReason::has_reached_target)
+    }
+}
+
 /// Makes attempts until one has an answer or no other may follow.
 pub async fn run(node: &NodeHandle, mut call: RoutedCall) -> Response<NodeBody> {
     let budget = node.budget(&call.service.spec.name);
     budget.note_call(call.service.spec.retry_percent);
-    let mut tried = Vec::new();
+    let mut count = AttemptCount::default();
     // The answer to an attempt that may have run: from then on the call as a
     // whole is no longer `not-run`, whatever becomes of later attempts.
     let mut doubt = None;
-    loop {
-        let Some(target) = choose(node, &call, &tried) else {
-            let none = refusal(CallOutcome::NotRun, RefusalReason::NoTarget);
-            return doubt.unwrap_or(none);
-        };
-        tried.push(target.node);
-        let end = attempt(node, &mut call, &target, tried.len()).await;
-        let has_budget = may_follow(node, &call, &end, tried.len()) && take_retry(node, &budget);
+    let mut refused = None;
+    while let Some(target) = choose(node, &call, &count.tried) {
+        count.tried.push(target.node);
+        let end = attempt(node, &mut call, &target, count.tried.len()).await;
+        count.note(&end);
+        let may_follow = may_follow(node, &call, &end, &count)
+            && (!end.has_reached_target() || take_retry(node, &budget));
+        if end.outcome == CallOutcome::Done && !(may_follow && end.is_target_failure()) {
+            return end.response;
+        }
         match end.outcome {
-            CallOutcome::Done => return end.response,
-            CallOutcome::Unknown => doubt = Some(end.response),
-            CallOutcome::NotRun if has_budget => {}
-            CallOutcome::NotRun => return doubt.unwrap_or(end.response),
+            CallOutcome::NotRun => refused = Some(end.response),
+            CallOutcome::Done | CallOutcome::Unknown => doubt = Some(end.response),
         }
-        if !has_budget && let Some(doubt) = doubt {
-            return doubt;
+        if !may_follow {
+            break;
+        }
+    }
+    let none = || refusal(CallOutcome::NotRun, RefusalReason::NoTarget);
+    let mut response = doubt.or(refused).unwrap_or_else(none);
+    let after = count.room_after.unwrap_or(RETRY_AFTER);
+    node.set_retry_after(&mut response, spread(after));
+    response
+}
+
+/// Spreads the return of callers that were refused together, so that they do
+/// not come back as one herd.
+fn spread(after: Duration) -> Duration {
+    after.mul_f64(rand::rng().random_range(0.8..1.6)) + LEAST_RETRY_AFTER
+}
+
+impl AttemptCount {
+    fn note(&mut self, end: &AttemptEnd) {
+        self.reached += u32::from(end.has_reached_target());
+        if let Some(room) = end.report.room_after {
+            let soonest = self.room_after.map_or(room, |held| held.min(room));
+            self.room_after = Some(soonest);
         }
     }
 }
@@ -103,21 +202,29 @@
 }
 
 /// Tells whether another attempt may follow one that ended so.
-fn may_follow(node: &NodeHandle, call: &RoutedCall, end: &AttemptEnd, attempts: usize) -> bool {
-    let Some(reason) = end.reason else {
-        return false;
-    };
+fn may_follow(
+    node: &NodeHandle,
+    call: &RoutedCall,
+    end: &AttemptEnd,
+    count: &AttemptCount,
+) -> bool {
     let is_proved = match end.outcome {
-        CallOutcome::Done => false,
+        CallOutcome::Done => call.is_idempotent && end.is_target_failure(),
         CallOutcome::NotRun => true,
         CallOutcome::Unknown => call.is_idempotent || call.has_key,
     };
+    let is_worth_it = match end.reason {
+        Some(reason) => reason.is_worth_another_target(),
+        None => end.is_target_failure(),
+    };
     let now = node.clock.now();
     let standing = lock(&node.suspects).standing(call.fingerprint, now);
+    let most = call.route.spec.max_attempts.unwrap_or(TARGET_LIMIT);
     is_proved
+        && is_worth_it
         && !end.is_final
-        && reason.is_worth_another_target()
-        && attempts < ATTEMPT_LIMIT
+        && count.tried.len() < ATTEMPT_LIMIT
+        && count.reached < most
         && call.body.is_repeatable()
         && call.deadline.allows_attempt(now)
         && standing == RequestStanding::Clean
@@ -132,27 +239,43 @@
         node.view.load().targets_if_held(service)?
     };
     let now = node.clock.now();
+    let demand = demand(node, call, now);
     let choice = node.load.with(service, |load| {
-        choose_target(
-            &node.place,
-            &targets,
-            &call.service.policy,
-            load,
-            tried,
-            now,
-            &mut rand::rng(),
-        )
+        let policy = &call.service.policy;
+        let mut rng = rand::rng();
+        match &demand {
+            Some(demand) => {
+                let calls = PlacedCall { demand, tried };
+                place_call(&node.place, &targets, policy, load, calls, now, &mut rng)
+            }
+            None => choose_target(&node.place, &targets, policy, load, tried, now, &mut rng),
+        }
     });
     let target = choice.chosen.map(|index| targets[index].clone());
     log_choice(call, &choice, tried.len() + 1);
     target
 }
 
+/// Returns what the call asks of its place, where its route says within which
+/// time an answer is worth most.
+fn demand(node: &NodeHandle, call: &RoutedCall, now: Instant) -> Option<CallDemand> {
+    call.route.spec.target_latency_ms?;
+    let spent = now.duration_since(call.arrived);
+    let expected = node.sizes.expect(&call.route.spec.name);
+    Some(CallDemand {
+        aim: call.route.spec.target_latency().saturating_sub(spent),
+        deadline: call.deadline.remaining(now),
+        answer_bytes: expected.bytes,
+        run: expected.run,
+    })
+}
+
 fn log_choice(call: &RoutedCall, choice: &TargetChoice, attempt: usize) {
     let candidates = choice.candidates.len();
     let Some(chosen) = choice.chosen.map(|index| &choice.candidates[index]) else {
         log::warn!(
             event = "route",
+            request:% = call.request_text(),
             route:% = call.route.spec.name,
             service:% = call.service.spec.name,
             target = "none",
@@ -164,6 +287,7 @@
     };
     log::info!(
         event = "route",
+        request:% = call.request_text(),
         route:% = call.route.spec.name,
         service:% = call.service.spec.name,
         version:% = call.view.config.version,
@@ -201,14 +325,16 @@
     };
     let response = send(node, target, &gate_call, request).await;
     guard.is_answered = true;
-    let end = read_end(response);
+    let end = hold_answer(&gate_call, read_end(response)).await;
     note_end(node, call, target, &end, started);
     log::debug!(
         event = "attempt",
+        request:% = gate_call.request_text(),
         call:% = gate_call.call,
         target:% = target.node,
         attempt = number,
-        outcome:% = end.outcome;
+        outcome:% = end.outcome,
+        reason:% = end.reason.map_or("none", RefusalReason::name);
         "route"
     );
     AttemptEnd {
@@ -223,6 +349,8 @@
     GateCall {
         call: CallId(rand::random()),
         class: call.route.spec.class,
+        priority: call.route.spec.priority,
+        request_id: call.request_id.clone(),
         deadline: call.deadline,
         is_idempotent: call.is_idempotent,
         fingerprint: call.fingerprint,
@@ -243,7 +371,18 @@
     if target.node == node.address() {
         return run::run(node, call.clone(), request).await;
     }
-    match hop::send(node, target, call, request).await {
+    let sending = hop::send(node, target, call, request);
+    let result = if call.is_idempotent {
+        tokio::select! {
+            result = sending => result,
+            () = wait_silence(node, target) => {
+                return refusal(CallOutcome::Unknown, RefusalReason::GateLost);
+            }
+        }
+    } else {
+        sending.await
+    };
+    match result {
         HopResult::Answered(response) => response,
         HopResult::Unsent => refusal(CallOutcome::NotRun, RefusalReason::Unreachable),
         HopResult::Lost(life) => {
@@ -257,18 +396,66 @@
     }
 }
 
+/// Waits until the node of a target no longer answers probes. A frozen node
+/// and a cut link leave connections open, so an attempt there would wait for
+/// its whole deadline.
+async fn wait_silence(node: &NodeHandle, target: &TargetEntry) {
+    tokio::time::sleep(DOUBT_TIME).await;
+    let mut missed = 0;
+    while missed < DOUBT_LIMIT {
+        if gossip::ping(node, target.node, DOUBT_WAIT).await.is_some() {
+            missed = 0;
+            tokio::time::sleep(DOUBT_PAUSE).await;
+        } else {
+            missed += 1;
+        }
+    }
+    log::warn!(event = "gate-silent", target:% = target.node, missed = missed; "route");
+}
+
+/// Reads an answer whole where it can be asked for again: one that breaks off
+/// is then an attempt that failed and not a caller's broken answer.
+async fn hold_answer(call: &GateCall, end: AttemptEnd) -> AttemptEnd {
+    if !call.is_idempotent || end.outcome != CallOutcome::Done {
+        return end;
+    }
+    let (parts, body) = end.response.into_parts();
+    let until = call.deadline.at().into();
+    let lost = match timeout_at(until, RequestBody::read(body, ANSWER_LIMIT)).await {
+        Ok(Ok(mut read)) => {
+            let body = read.for_attempt().unwrap_or_else(empty);
+            let response = Response::from_parts(parts, body);
+            return AttemptEnd { response, ..end };
+        }
+        Ok(Err(_)) => RefusalReason::TargetLost,
+        Err(_) => RefusalReason::Deadline,
+    };
+    AttemptEnd {
+        response: refusal(CallOutcome::Unknown, lost),
+        outcome: CallOutcome::Unknown,
+        reason: Some(lost),
+        ..end
+    }
+}
+
 fn read_end(mut response: Response<NodeBody>) -> AttemptEnd {
     let map = response.headers_mut();
     let outcome = headers::parsed(map, &headers::OUTCOME).unwrap_or(CallOutcome::Unknown);
     let reason = headers::parsed(map, &headers::REASON);
-    let busy = headers::parsed(map, &headers::BUSY);
+    let report = GateReport {
+        busy: headers::parsed(map, &headers::BUSY),
+        mean_run: headers::parsed(map, &headers::MEAN_RUN_US).map(Duration::from_micros),
+        room_after: headers::parsed(map, &headers::ROOM_MS).map(Duration::from_millis),
+    };
     let is_final = map.remove(headers::NO_RETRY).is_some();
-    map.remove(headers::BUSY);
+    for name in [headers::BUSY, headers::MEAN_RUN_US, headers::ROOM_MS] {
+        map.remove(name);
+    }
     AttemptEnd {
         response,
         outcome,
         reason,
-        busy,
+        report,
         is_final,
     }
 }
@@ -285,7 +472,15 @@
     let service = &call.service.spec.name;
     let all = call.view.targets(service).len();
     let result = match (end.outcome, end.reason) {
+        (CallOutcome::Done, _) if end.is_target_failure() => AttemptResult::Faulty,
         (CallOutcome::Done, _) => AttemptResult::Answered,
+        (CallOutcome::NotRun, Some(RefusalReason::TargetBusy)) => AttemptResult::Faulty,
+        (CallOutcome::NotRun, Some(RefusalReason::Unreachable)) => {
+            AttemptResult::Unreachable(UNREACHABLE_TIME)
+        }
+        (CallOutcome::Unknown, Some(RefusalReason::GateLost)) => {
+            AttemptResult::Unreachable(UNREACHABLE_TIME)
+        }
         (_, Some(RefusalReason::Saturated)) => AttemptResult::Full,
         (_, Some(RefusalReason::Unreachable | RefusalReason::GateLost)) => AttemptResult::Failed,
         (_, Some(RefusalReason::TargetLost)) => AttemptResult::Failed,
@@ -293,10 +488,17 @@
         _ => AttemptResult::Refused,
     };
     let took = now.duration_since(started);
+    if result == AttemptResult::Answered {
+        let bytes = end.response.body().size_hint().lower();
+        node.sizes.note(&call.route.spec.name, bytes, took);
+    }
     let ejected = node.load.with(service, |load| {
-        if let Some(busy) = end.busy {
+        if let Some(busy) = end.report.busy {
             load.note_report(target.node, busy, now);
         }
+        if let Some(mean_run) = end.report.mean_run {
+            load.note_speed(target.node, mean_run);
+        }
         load.note_result(target, result, took, &call.service.policy, all, now)
     });
     if let Some(time) = ejected {
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -1,7 +1,8 @@
 //! One call of a caller: read, routed, attempted and answered.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use http_body_util::Limited;
 use hyper::body::{Body, Incoming};
@@ -18,8 +19,7 @@
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::route::limit::RoutePermit;
 
-use crate::body::{BodyEnd, GuardedBody, NodeBody, RequestBody, boxed};
-use crate::gate::answer::refusal;
+use crate::body::{BodyEnd, CountedBody, GuardedBody, NodeBody, RequestBody, boxed};
 use crate::headers;
 use crate::ingress::attempt::{self, RoutedCall};
 use crate::logs::Clean;
@@ -29,6 +29,9 @@
 /// Largest head of a request in bytes.
 pub const HEAD_LIMIT: usize = 64 * 1024;
 
+/// When a caller may come again whose call met no target at all.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// What is known of a call when it ends, for its log line and metrics.
 #[derive(Debug)]
 struct CallRecord {
@@ -40,6 +43,8 @@
     outcome: CallOutcome,
     reason: &'static str,
     status: u16,
+    request_id: String,
+    bytes: Arc<AtomicU64>,
 }
 
 impl CallRecord {
@@ -53,6 +58,7 @@
         self.node.metrics.calls.get_or_create(&labels).inc();
         log::info!(
             event = "call",
+            request:% = Clean(&self.request_id),
             method:% = Clean(self.method.as_str()),
             path:% = Clean(&self.path),
             route:% = self.route,
@@ -60,6 +66,7 @@
             reason = self.reason,
             status = self.status,
             took_us = took.as_micros() as u64,
+            bytes = self.bytes.load(Ordering::Relaxed),
             body:? = end;
             "call"
         );
@@ -71,9 +78,16 @@
     let started = node.clock.now();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
+    let request_id = headers::text(request.headers(), &node.edge.request_id)
+        .unwrap_or_default()
+        .to_owned();
     let (response, route, permit) = match Box::pin(serve(node, request)).await {
         Ok(served) => (served.response, served.route, Some(served.permit)),
-        Err(reason) => (refusal(CallOutcome::NotRun, reason), None, None),
+        Err(reason) => (
+            node.refusal(CallOutcome::NotRun, reason, RETRY_AFTER),
+            None,
+            None,
+        ),
     };
     let record = CallRecord {
         node: node.clone(),
@@ -86,9 +100,13 @@
         reason: headers::parsed::<RefusalReason>(response.headers(), &headers::REASON)
             .map_or("none", RefusalReason::name),
         status: response.status().as_u16(),
+        request_id,
+        bytes: Arc::default(),
     };
     response.map(|body| {
-        boxed(GuardedBody::new(body, move |end| {
+        let bytes = Arc::clone(&record.bytes);
+        let counted = CountedBody::new(body, bytes);
+        boxed(GuardedBody::new(boxed(counted), move |end| {
             drop(permit);
             record.finish(end);
         }))
@@ -105,8 +123,8 @@
     if node.current_stage() == NodeStage::Starting {
         return Err(RefusalReason::NotReady);
     }
-    check_framing(node, &request)?;
     let view = node.view.load();
+    check_framing(node, &view, &request)?;
     let host = host_of(&request).ok_or(RefusalReason::BadRequest)?;
     let route = view
         .config
@@ -118,7 +136,7 @@
         .limits
         .enter(&route.spec.name, most)
         .ok_or(RefusalReason::RouteLimit)?;
-    let asked = headers::deadline(request.headers());
+    let asked = headers::deadline(request.headers(), &node.edge.deadline_ms);
     let deadline = CallDeadline::of_call(&node.clock, route.spec.deadline(), asked);
     let call = read(node, view, Arc::clone(&route), deadline, request).await?;
     let response = attempt::run(node, call).await;
@@ -131,14 +149,20 @@
 
 /// Refuses a request whose framing two readers could take differently, or
 /// whose body is over the bound.
-fn check_framing(node: &NodeHandle, request: &Request<Incoming>) -> Result<(), RefusalReason> {
+fn check_framing(
+    node: &NodeHandle,
+    view: &ServingView,
+    request: &Request<Incoming>,
+) -> Result<(), RefusalReason> {
     let map = request.headers();
     let has_both = map.contains_key(CONTENT_LENGTH) && map.contains_key(TRANSFER_ENCODING);
-    let most = node.settings.tuning.max_body_bytes;
-    let is_large = request.body().size_hint().lower() > most;
+    let is_large = request.body().size_hint().lower() > body_bound(node, view);
+    let most_head = view.config.limits.as_ref().map_or(HEAD_LIMIT, |limits| {
+        usize::try_from(limits.max_head_bytes).unwrap_or(HEAD_LIMIT)
+    });
     if has_both
         || is_large
-        || head_bytes(request) > HEAD_LIMIT
+        || head_bytes(request) > most_head.min(HEAD_LIMIT)
         || map.get_all(HOST).iter().count() > 1
     {
         return Err(RefusalReason::BadRequest);
@@ -146,6 +170,14 @@
     Ok(())
 }
 
+/// Returns the bytes that a body may have: the node's bound, or the one of the
+/// configuration where that is lower.
+fn body_bound(node: &NodeHandle, view: &ServingView) -> u64 {
+    let own = node.settings.tuning.max_body_bytes;
+    let limits = view.config.limits.as_ref();
+    limits.map_or(own, |limits| own.min(limits.max_body_bytes))
+}
+
 /// Returns the bytes of a request's head. The connection's buffer bounds them
 /// only roughly, since it grows by whole reads.
 fn head_bytes(request: &Request<Incoming>) -> usize {
@@ -173,7 +205,19 @@
 ) -> Result<RoutedCall, RefusalReason> {
     let (mut parts, body) = request.into_parts();
     headers::strip_hop_by_hop(&mut parts.headers);
+    let request_id = parts.headers.get(&node.edge.request_id).cloned();
     headers::strip_mesh(&mut parts.headers);
+    if let Some(request_id) = &request_id {
+        let name = node.edge.request_id.clone();
+        parts.headers.insert(name, request_id.clone());
+    }
+    // What a caller says of itself here is never believed.
+    parts.headers.remove(&node.edge.expected_instance);
+    parts.headers.remove(&node.edge.caller_service);
+    if let Some(service) = &node.settings.caller_service {
+        let name = node.edge.caller_service.clone();
+        headers::set(&mut parts.headers, name, service);
+    }
     let is_idempotent = route
         .spec
         .idempotent
@@ -187,7 +231,7 @@
         return Err(RefusalReason::BadRequest);
     }
     let limit = node.settings.tuning.replay_bytes;
-    let most = usize::try_from(node.settings.tuning.max_body_bytes).unwrap_or(usize::MAX);
+    let most = usize::try_from(body_bound(node, &view)).unwrap_or(usize::MAX);
     let reading = RequestBody::read(boxed(Limited::new(body, most)), limit);
     let body = timeout_at(deadline.at().into(), reading)
         .await
@@ -215,6 +259,8 @@
         view,
         route,
         service,
+        request_id,
+        arrived: node.clock.now(),
         deadline,
         is_idempotent,
         has_key: key.is_some(),
--- a/wisteriaturnd/src/ingress/port.rs
+++ b/wisteriaturnd/src/ingress/port.rs
@@ -17,6 +17,7 @@
         drop_cause: "ingress-connections",
         head_bytes: call::HEAD_LIMIT,
         headers: HEADER_LIMIT,
+        is_for_callers: true,
     };
     accept_until_stopped(
         node,
--- a/wisteriaturnd/src/lifecycle.rs
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 use tokio_util::task::TaskTracker;
 use wisteriaturn::clock::lock;
 use wisteriaturn::invariant;
 use wisteriaturn::member::record::MemberState;
 
 use crate::admin;
+use crate::directory;
+use crate::documents;
 use crate::follow;
 use crate::gate;
 use crate::gossip;
@@ -30,6 +32,9 @@
 /// by a closed port.
 const LEAVE_NOTICE: Duration = Duration::from_millis(500);
 
+/// Least time for connections to close after the gates are empty.
+const LEAST_CLOSE_TIME: Duration = Duration::from_millis(200);
+
 /// A node that runs.
 #[derive(Debug)]
 pub struct RunningNode {
@@ -62,6 +67,12 @@
         tokio::spawn(gate::port::accept_task(node.clone(), hop, tracker.clone()));
         tokio::spawn(ingress::port::accept_task(node.clone(), ingress, tracker));
         tokio::spawn(targets::expire_task(node.clone()));
+        if let Some(port) = node.documents.clone() {
+            tokio::spawn(documents::follow_task(node.clone(), port));
+        }
+        if let Some(port) = node.directory.clone() {
+            tokio::spawn(directory::directory_task(node.clone(), port));
+        }
         tokio::spawn(start_then_follow(node.clone()));
         log::info!(
             event = "started",
@@ -79,17 +90,24 @@
     /// need it to end its own calls.
     pub async fn stop(self) {
         let node = &self.node;
-        let time = node.settings.tuning.drain_timeout;
+        let until = node.clock.now() + node.settings.tuning.drain_timeout;
         log::info!(event = "stopping", calls_at_gate = node.targets.in_flight(); "node");
         node.stage.send_replace(NodeStage::Draining);
         node.metrics.ready.set(0);
         targets::drain_all(node).await;
-        if timeout(time, wait_empty(node)).await.is_err() {
+        // Callers need a moment to hear that this node is not ready.
+        let lame_duck = tokio::time::sleep(node.settings.tuning.lame_duck);
+        if timeout_at(until.into(), wait_empty(node)).await.is_err() {
             log::warn!(event = "drain-cut", calls_at_gate = node.targets.in_flight(); "node");
         }
+        lame_duck.await;
         node.stage.send_replace(NodeStage::Stopping);
         self.connections.close();
-        if timeout(time, self.connections.wait()).await.is_err() {
+        let until = until.max(node.clock.now() + LEAST_CLOSE_TIME);
+        if timeout_at(until.into(), self.connections.wait())
+            .await
+            .is_err()
+        {
             log::warn!(event = "connections-cut", open = self.connections.len(); "node");
         }
         let record = {
@@ -106,7 +124,9 @@
     start::start_task(node.clone()).await;
     tokio::spawn(prober::probe_task(node.clone()));
     tokio::spawn(start::reseed_task(node.clone()));
-    follow::follow_task(node).await;
+    if node.documents.is_none() {
+        follow::follow_task(node).await;
+    }
 }
 
 async fn wait_empty(node: &NodeHandle) {
--- a/wisteriaturnd/src/listener.rs
+++ b/wisteriaturnd/src/listener.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio_io_timeout::TimeoutStream;
 use tokio_util::task::TaskTracker;
+use wisteriaturn::config::resource::LimitsSpec;
 
 use crate::body::NodeBody;
 use crate::node::{NodeHandle, NodeStage};
@@ -46,6 +47,22 @@
     pub head_bytes: usize,
     /// Most headers of a request.
     pub headers: usize,
+    /// Whether callers connect here, for whom the configuration has limits.
+    pub is_for_callers: bool,
+}
+
+impl PortLimits {
+    /// Returns the time until the head of a request must be there, which counts
+    /// from the end of the one before: a caller's connection may stay idle for
+    /// as long as the configuration allows.
+    fn head_time(&self, node: &NodeHandle) -> Duration {
+        if !self.is_for_callers {
+            return HEAD_TIME;
+        }
+        let view = node.view.load();
+        let limits = view.config.limits.as_ref();
+        limits.map_or(HEAD_TIME, LimitsSpec::idle_timeout)
+    }
 }
 
 /// Accepts connections until the node stops, and serves each in a task.
@@ -111,7 +128,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
+        .header_read_timeout(limits.head_time(node))
         .max_headers(limits.headers)
         .max_buf_size(limits.head_bytes)
         .serve_connection(TokioIo::new(Box::pin(stream)), service);
--- a/wisteriaturnd/src/log_http.rs
+++ b/wisteriaturnd/src/log_http.rs
@@ -10,25 +10,18 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, StatusCode};
 use serde::Deserialize;
-use tokio::time::timeout;
 use wisteriaturn::clock::SharedClock;
 use wisteriaturn::error::LogError;
 use wisteriaturn::ids::Offset;
 use wisteriaturn::log_port::{LogBatch, LogPort, LogRecord, ReadRequest};
 
-use crate::body::full;
-use crate::exchange::{self, ExchangeError};
-use crate::pool::LinkPool;
+use crate::log_client::LogClient;
 
 /// Time for the log to answer beyond what a read may wait.
 const ANSWER_TIME: Duration = Duration::from_secs(3);
 
-/// Largest answer in bytes.
-const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
-
 #[derive(Debug, Deserialize)]
 struct AppendReply {
     offset: Offset,
@@ -54,15 +47,13 @@
 
 #[derive(Clone)]
 struct HttpLog {
-    address: SocketAddr,
-    pool: LinkPool,
+    client: LogClient,
 }
 
 /// Returns a port to the log service at `address`.
 pub fn http_log(address: SocketAddr, clock: SharedClock) -> LogPort {
     let service = HttpLog {
-        address,
-        pool: LinkPool::to_targets(clock),
+        client: LogClient::new(address, ANSWER_TIME, clock),
     };
     let reader = service.clone();
     LogPort::new(
@@ -81,6 +72,7 @@
     async fn append(&self, stream: &str, data: Bytes) -> Result<Offset, LogError> {
         let path = format!("/streams/{stream}/records");
         let (status, body) = self
+            .client
             .exchange(Method::POST, path, data, Duration::ZERO)
             .await?;
         if status.is_client_error() {
@@ -103,6 +95,7 @@
             request.wait.as_millis()
         );
         let (status, body) = self
+            .client
             .exchange(Method::GET, path, Bytes::new(), request.wait)
             .await?;
         match status {
@@ -114,58 +107,6 @@
             _ => Err(LogError::Lost(status.to_string())),
         }
     }
-
-    async fn exchange(
-        &self,
-        method: Method,
-        path: String,
-        body: Bytes,
-        wait: Duration,
-    ) -> Result<(StatusCode, Bytes), LogError> {
-        timeout(wait + ANSWER_TIME, self.exchange_now(method, path, body))
-            .await
-            .map_err(|_| LogError::Lost("no answer in time".to_owned()))?
-    }
-
-    async fn exchange_now(
-        &self,
-        method: Method,
-        path: String,
-        body: Bytes,
-    ) -> Result<(StatusCode, Bytes), LogError> {
-        let refused = |why: String| LogError::Refused(why);
-        let lost = |why: String| LogError::Lost(why);
-        let mut request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(hyper::header::HOST, self.address.to_string())
-            .body(full(body))
-            .map_err(|error| refused(error.to_string()))?;
-        loop {
-            let mut link = self
-                .pool
-                .take(self.address)
-                .await
-                .map_err(|error| refused(error.to_string()))?;
-            let response = match exchange::send(&mut link, request).await {
-                Ok(response) => response,
-                Err(ExchangeError::Unsent(unsent)) if link.is_reused => {
-                    request = *unsent;
-                    continue;
-                }
-                Err(ExchangeError::Unsent(_)) => return Err(refused("not sent".to_owned())),
-                Err(ExchangeError::Lost(error)) => return Err(lost(error.to_string())),
-            };
-            let status = response.status();
-            let body = Limited::new(response.into_body(), ANSWER_LIMIT)
-                .collect()
-                .await
-                .map_err(|error| lost(error.to_string()))?
-                .to_bytes();
-            self.pool.give_back(link);
-            return Ok((status, body));
-        }
-    }
 }
 
 fn decode<T>(body: &[u8]) -> Result<T, LogError>
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -14,13 +14,16 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot, watch};
 use wisteriaturn::clock::{SharedClock, lock};
+use wisteriaturn::config::document::DocumentPort;
 use wisteriaturn::config::view::{ServingView, ViewCell};
+use wisteriaturn::gate::announce::AnnounceBook;
 use wisteriaturn::gate::ledger::CallLedger;
 use wisteriaturn::gate::quarantine::SuspectTable;
 use wisteriaturn::ids::{
     ConfigVersion, DataCentre, Incarnation, LifeId, NodeAddress, Sequence, ServiceName,
 };
 use wisteriaturn::log_port::LogPort;
+use wisteriaturn::member::directory::DirectoryPort;
 use wisteriaturn::member::record::{MemberRecord, MemberState};
 use wisteriaturn::member::relay::relays;
 use wisteriaturn::member::rumor::RumorQueue;
@@ -30,8 +33,10 @@
 use wisteriaturn::route::choose::NodePlace;
 use wisteriaturn::route::limit::RouteLimit;
 use wisteriaturn::route::load::LoadBook;
+use wisteriaturn::route::size::SizeBook;
 
 use crate::claims::ClaimDesk;
+use crate::headers::EdgeNames;
 use crate::keeper::ClaimKeeper;
 use crate::metrics::{NodeMetrics, TrafficKind, TrafficReach};
 use crate::pool::LinkPool;
@@ -89,6 +94,16 @@
     pub target_pool: LinkPool,
     /// The platform's log.
     pub log: LogPort,
+    /// Where whole configurations come from, if not from changes in the log.
+    pub documents: Option<DocumentPort>,
+    /// Where nodes find each other besides the seeds in the settings.
+    pub directory: Option<DirectoryPort>,
+    /// Names of the headers that callers and targets know.
+    pub edge: EdgeNames,
+    /// What the targets on this VM said of themselves.
+    pub announces: Mutex<AnnounceBook>,
+    /// Size of the answers of each route.
+    pub sizes: SizeBook,
     /// Claims that this gate asks for.
     pub claims: ClaimDesk,
     /// Claim streams that this node writes.
@@ -101,6 +116,8 @@
     pub pending: Mutex<HashMap<u64, oneshot::Sender<NodeStatus>>>,
     /// Tells the version in force to those who wait for one.
     pub version: watch::Sender<ConfigVersion>,
+    /// Newest version that the source of documents named, once it was read.
+    pub source_version: watch::Sender<Option<ConfigVersion>>,
     /// Tells the stage to those who wait for one.
     pub stage: watch::Sender<NodeStage>,
     /// Wakes the task that joins members into the view.
@@ -166,6 +183,9 @@
     settings: NodeSettings,
     clock: SharedClock,
     log: LogPort,
+    documents: Option<DocumentPort>,
+    directory: Option<DirectoryPort>,
+    edge: EdgeNames,
     addresses: AddressMap,
 }
 
@@ -176,10 +196,32 @@
             settings,
             clock,
             log,
+            documents: None,
+            directory: None,
+            edge: EdgeNames::own(),
             addresses: AddressMap::identity(),
         }
     }
 
+    /// Takes whole configurations from `documents` in place of changes from
+    /// the log.
+    pub fn documents(mut self, documents: DocumentPort) -> Self {
+        self.documents = Some(documents);
+        self
+    }
+
+    /// Finds other nodes in `directory` besides the seeds.
+    pub fn directory(mut self, directory: DirectoryPort) -> Self {
+        self.directory = Some(directory);
+        self
+    }
+
+    /// Speaks to callers and targets by the names in `edge`.
+    pub fn edge(mut self, edge: EdgeNames) -> Self {
+        self.edge = edge;
+        self
+    }
+
     /// Connects to other nodes by way of `addresses`.
     pub fn addresses(mut self, addresses: AddressMap) -> Self {
         self.addresses = addresses;
@@ -231,12 +273,18 @@
             ),
             target_pool: LinkPool::to_targets(Arc::clone(&clock)),
             log: self.log,
+            documents: self.documents,
+            directory: self.directory,
+            edge: self.edge,
+            announces: Mutex::new(AnnounceBook::new()),
+            sizes: SizeBook::new(),
             claims,
             keeper,
             udp,
             addresses: self.addresses,
             pending: Mutex::default(),
             version: watch::Sender::new(ConfigVersion(0)),
+            source_version: watch::Sender::new(None),
             stage: watch::Sender::new(NodeStage::Starting),
             members_changed: Notify::new(),
             is_pulling: AtomicBool::new(false),
@@ -354,12 +402,29 @@
     /// Returns the retry budget of a service.
     pub fn budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
         let mut budgets = lock(&self.budgets);
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| Arc::new(RetryBudget::new(Arc::clone(&self.clock))));
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let clock = Arc::clone(&self.clock);
+            Arc::new(match self.settings.retry {
+                Some(limit) => RetryBudget::shared(clock, limit, self.live_members()),
+                None => RetryBudget::new(clock),
+            })
+        });
         Arc::clone(budget)
     }
 
+    /// Tells the retry budgets how many nodes share their limits.
+    pub fn share_budgets(&self) {
+        let members = self.live_members();
+        for budget in lock(&self.budgets).values() {
+            budget.set_members(members);
+        }
+    }
+
+    fn live_members(&self) -> usize {
+        let table = lock(&self.table);
+        table.iter().filter(|entry| entry.record.is_live()).count()
+    }
+
     /// Returns the next number for a loss of a target.
     pub fn next_loss(&self) -> u64 {
         // Losses are told apart across restarts by the wall time.
--- a/wisteriaturnd/src/pool.rs
+++ b/wisteriaturnd/src/pool.rs
@@ -11,7 +11,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use hyper::HeaderMap;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::HeaderName;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -22,6 +24,8 @@
 use crate::body::NodeBody;
 use crate::error::LinkError;
 use crate::handshake::{self, PortUse};
+use crate::headers;
+use crate::net;
 use crate::node::AddressMap;
 
 /// Time for a connection to open. A node in another region is 8 ms away; what
@@ -31,6 +35,12 @@
 /// How long an idle connection is kept.
 pub const IDLE_TIME: Duration = Duration::from_secs(30);
 
+/// How much sooner than the other side an idle connection is given up.
+const KEEP_MARGIN: Duration = Duration::from_secs(1);
+
+/// Names how long the other side keeps an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Idle connections kept to one address.
 pub const IDLE_LIMIT: usize = 64;
 
@@ -47,21 +57,47 @@
     /// Whether the connection served an exchange before.
     pub is_reused: bool,
     address: SocketAddr,
+    keep: Duration,
+}
+
+impl PooledLink {
+    /// Takes note of how long the other side keeps the connection open while
+    /// it is idle (`Keep-Alive: timeout=N`).
+    pub fn note_keep_alive(&mut self, headers: &HeaderMap) {
+        let named = headers::text(headers, &KEEP_ALIVE).and_then(|text| {
+            text.split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+                .and_then(|seconds| seconds.parse().ok())
+        });
+        if let Some(seconds) = named {
+            // A request must arrive before the other side closes.
+            let keep = Duration::from_secs(seconds).saturating_sub(KEEP_MARGIN);
+            self.keep = keep.min(IDLE_TIME);
+        }
+    }
 }
 
 #[derive(Debug)]
 struct IdleLink {
     sender: SendRequest<NodeBody>,
     life: LifeId,
+    keep: Duration,
     since: Instant,
 }
 
+impl IdleLink {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.duration_since(self.since) < self.keep
+    }
+}
+
 /// Connections by address; a cheap handle.
 #[derive(Debug, Clone)]
 pub struct LinkPool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleLink>>>>,
     keys: Option<MeshKeys>,
     addresses: AddressMap,
+    is_probed: bool,
     clock: SharedClock,
 }
 
@@ -72,6 +108,7 @@
             idle: Arc::default(),
             keys: Some(keys),
             addresses,
+            is_probed: false,
             clock,
         }
     }
@@ -82,10 +119,20 @@
             idle: Arc::default(),
             keys: None,
             addresses: AddressMap::identity(),
+            is_probed: false,
             clock,
         }
     }
 
+    /// Returns a pool of connections to a store that may hold an answer back
+    /// until there is something to tell.
+    pub fn to_store(clock: SharedClock) -> Self {
+        Self {
+            is_probed: true,
+            ..Self::to_targets(clock)
+        }
+    }
+
     /// Returns an idle connection or opens one.
     ///
     /// # Errors
@@ -112,6 +159,10 @@
             .await
             .map_err(unreachable)?;
         stream.set_nodelay(true).map_err(unreachable)?;
+        net::limit_silence(&stream).map_err(unreachable)?;
+        if self.is_probed {
+            net::probe_idle(&stream).map_err(unreachable)?;
+        }
         let life = match &self.keys {
             Some(keys) => handshake::connect(&mut stream, keys, PortUse::Hop).await?,
             None => LifeId(0),
@@ -130,6 +181,7 @@
             life,
             is_reused: false,
             address,
+            keep: IDLE_TIME,
         })
     }
 
@@ -138,13 +190,13 @@
         let mut idle = lock(&self.idle);
         let links = idle.get_mut(&address)?;
         while let Some(link) = links.pop() {
-            let is_fresh = now.duration_since(link.since) < IDLE_TIME;
-            if is_fresh && link.sender.is_ready() {
+            if link.is_fresh(now) && link.sender.is_ready() {
                 return Some(PooledLink {
                     sender: link.sender,
                     life: link.life,
                     is_reused: true,
                     address,
+                    keep: link.keep,
                 });
             }
         }
@@ -163,6 +215,7 @@
             links.push(IdleLink {
                 sender: link.sender,
                 life: link.life,
+                keep: link.keep,
                 since: self.clock.now(),
             });
         }
@@ -177,9 +230,7 @@
     pub fn sweep(&self) {
         let now = self.clock.now();
         lock(&self.idle).retain(|_, links| {
-            links.retain(|link| {
-                now.duration_since(link.since) < IDLE_TIME && !link.sender.is_closed()
-            });
+            links.retain(|link| link.is_fresh(now) && !link.sender.is_closed());
             !links.is_empty()
         });
     }
--- a/wisteriaturnd/src/settings/mod.rs
+++ b/wisteriaturnd/src/settings/mod.rs
@@ -12,11 +12,12 @@
 use std::time::Duration;
 
 use log::LevelFilter;
-use wisteriaturn::ids::{DataCentre, RegionName};
+use wisteriaturn::ids::{DataCentre, RegionName, ServiceName};
 use wisteriaturn::peer::auth::MeshKeys;
+use wisteriaturn::retry::budget::RetryLimit;
 
 use crate::error::SettingsError;
-use crate::settings::raw::{RawLog, RawSettings, RawTuning};
+use crate::settings::raw::{RawLog, RawRetry, RawSettings, RawTuning};
 
 pub mod raw;
 
@@ -48,6 +49,12 @@
     pub log_address: SocketAddr,
     /// Data centre of the log service.
     pub log_home: Option<DataCentre>,
+    /// Service that runs on this VM.
+    pub caller_service: Option<ServiceName>,
+    /// Retries that all nodes together may add for one service.
+    pub retry: Option<RetryLimit>,
+    /// Settings of the program that the node is part of.
+    pub extension: toml::Table,
     /// Times and bounds.
     pub tuning: NodeTuning,
     /// Level of the log lines.
@@ -69,6 +76,9 @@
     pub fanout: usize,
     /// Time that a planned stop waits for calls in flight.
     pub drain_timeout: Duration,
+    /// Time in which a stopping node still takes callers, so that they hear
+    /// that it is not ready before its port closes.
+    pub lame_duck: Duration,
     /// Time without progress after which a body is given up.
     pub stall_timeout: Duration,
     /// Time that an announcement of a target lasts.
@@ -135,6 +145,15 @@
                 Some(name) => Some(parsed("log.data_centre", name, "a name")?),
                 None => None,
             },
+            caller_service: match &raw.caller_service {
+                Some(name) => Some(parsed("caller_service", name, "a name")?),
+                None => None,
+            },
+            retry: match &raw.retry {
+                Some(retry) => Some(retry_limit(retry)?),
+                None => None,
+            },
+            extension: raw.extension,
             tuning,
             log_level: match &raw.log_level {
                 Some(level) => parsed("log_level", level, "off, error, warn, info, debug, trace")?,
@@ -203,6 +222,7 @@
             60_000,
             0..=3_600_000,
         )?;
+        let lame_duck = number("tuning.lame_duck_ms", raw.lame_duck_ms, 0, 0..=600_000)?;
         let stall = number(
             "tuning.stall_timeout_ms",
             raw.stall_timeout_ms,
@@ -257,6 +277,7 @@
             suspect_timeout: ms(suspect),
             fanout: fanout as usize,
             drain_timeout: ms(drain),
+            lame_duck: ms(lame_duck),
             stall_timeout: ms(stall),
             announce_ttl: ms(ttl),
             max_connections: connections as usize,
@@ -312,6 +333,38 @@
     Ok(value)
 }
 
+fn retry_limit(raw: &RawRetry) -> Result<RetryLimit, SettingsError> {
+    if !(0.0..=1.0).contains(&raw.ratio) {
+        return Err(not_allowed("retry.ratio", raw.ratio, "0 to 1"));
+    }
+    if !(0.0..=1e6).contains(&raw.slack) {
+        return Err(not_allowed("retry.slack", raw.slack, "0 to 1000000"));
+    }
+    let window = duration_text(&raw.window)
+        .filter(|window| !window.is_zero())
+        .ok_or_else(|| not_allowed("retry.window", &raw.window, "a time such as 10s or 1500ms"))?;
+    Ok(RetryLimit {
+        ratio: raw.ratio,
+        slack: raw.slack,
+        window,
+    })
+}
+
+/// Longest time that a setting may name.
+const LONGEST_TIME: Duration = Duration::from_secs(30 * 24 * 3600);
+
+/// Reads a time with its unit, such as `1500ms` or `2.5s`.
+pub fn duration_text(text: &str) -> Option<Duration> {
+    let (number, unit) = match text.strip_suffix("ms") {
+        Some(number) => (number, 0.001),
+        None => (text.strip_suffix('s')?, 1.0),
+    };
+    let seconds = number.parse::<f64>().ok()? * unit;
+    Duration::try_from_secs_f64(seconds)
+        .ok()
+        .filter(|time| *time <= LONGEST_TIME)
+}
+
 fn mesh_keys(secrets: &[String]) -> Result<MeshKeys, SettingsError> {
     let is_good = (1..=2).contains(&secrets.len())
         && secrets.iter().all(|secret| secret.len() >= LEAST_SECRET);
--- a/wisteriaturnd/src/settings/raw.rs
+++ b/wisteriaturnd/src/settings/raw.rs
@@ -22,6 +22,15 @@
     pub admin_token: Option<String>,
     /// The platform's log.
     pub log: RawLog,
+    /// Service that runs on this VM; targets are told which service called.
+    #[serde(default)]
+    pub caller_service: Option<String>,
+    /// Retries that all nodes together may add.
+    #[serde(default)]
+    pub retry: Option<RawRetry>,
+    /// Settings of the program that the node is part of, which checks them.
+    #[serde(default)]
+    pub extension: toml::Table,
     /// Times and bounds.
     #[serde(default)]
     pub tuning: RawTuning,
@@ -47,6 +56,18 @@
     pub peer: String,
 }
 
+/// The shared limit of retries as written.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawRetry {
+    /// Retries as a share of the calls.
+    pub ratio: f64,
+    /// Retries in one window at any rate of calls.
+    pub slack: f64,
+    /// The window, such as `10s` or `1500ms`.
+    pub window: String,
+}
+
 /// The log as written.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -75,6 +96,8 @@
     pub fanout: Option<u64>,
     /// Time that a planned stop waits for calls in flight, in milliseconds.
     pub drain_timeout_ms: Option<u64>,
+    /// Time in which a stopping node still takes callers, in milliseconds.
+    pub lame_duck_ms: Option<u64>,
     /// Time without progress after which a body is given up, in milliseconds.
     pub stall_timeout_ms: Option<u64>,
     /// Time that an announcement of a target lasts, in milliseconds.
--- a/wisteriaturnd/src/start.rs
+++ b/wisteriaturnd/src/start.rs
@@ -14,6 +14,8 @@
 use wisteriaturn::ids::{ConfigVersion, Incarnation, NodeAddress};
 use wisteriaturn::peer::message::{PeerAnswer, PeerRequest};
 
+use crate::directory;
+use crate::documents;
 use crate::follow;
 use crate::metrics::TrafficKind;
 use crate::news;
@@ -47,6 +49,7 @@
     let mut backoff = BACKOFF.0;
     let mut floor = ConfigVersion(0);
     for round in 0.. {
+        find_in_directory(&node).await;
         let report = ask_peers(&node).await;
         raise_incarnation(&node, report.incarnation);
         floor = floor.max(report.floor);
@@ -59,7 +62,12 @@
             break;
         }
         let jitter = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(backoff.mul_f64(jitter)).await;
+        let pause = backoff.mul_f64(jitter);
+        if node.documents.is_some() && node.source_version.borrow().is_none() {
+            documents::wait_source(&node, pause).await;
+        } else {
+            tokio::time::sleep(pause).await;
+        }
         backoff = (backoff * 2).min(BACKOFF.1);
     }
     node.stage.send_if_modified(|stage| {
@@ -80,6 +88,19 @@
     news::spread_own(&node, record).await;
 }
 
+/// Looks for others in the directory while this node knows nobody.
+async fn find_in_directory(node: &NodeHandle) {
+    let Some(port) = &node.directory else {
+        return;
+    };
+    if lock(&node.table).len() > 1 {
+        return;
+    }
+    if let Err(error) = directory::find(node, port).await {
+        log::warn!(event = "directory-read-failed", error:% = error; "member");
+    }
+}
+
 async fn ask_peers(node: &NodeHandle) -> JoinReport {
     let mut report = JoinReport::default();
     let mut asked = BTreeSet::from([node.address()]);
@@ -180,6 +201,9 @@
     if report.ready_peers >= PEERS_NEEDED {
         return held >= report.newest && held >= floor;
     }
+    if node.documents.is_some() {
+        return documents::is_current(node, floor);
+    }
     // In a herd of restarts nobody is ready: seeds and relays ask the log, the
     // others wait a little for one of them before they ask it too.
     let is_alone = lock(&node.table).len() == 1;
--- a/wisteriaturnd/src/targets.rs
+++ b/wisteriaturnd/src/targets.rs
@@ -11,8 +11,9 @@
 
 use serde::Deserialize;
 use wisteriaturn::clock::lock;
+use wisteriaturn::gate::announce::TargetStatement;
 use wisteriaturn::gate::slots::SlotGate;
-use wisteriaturn::ids::{ServiceName, SlotCount};
+use wisteriaturn::ids::{Incarnation, InstanceId, Sequence, ServiceName, SlotCount};
 use wisteriaturn::member::record::{TARGET_LIMIT, TargetRecord, TargetState};
 
 use crate::news;
@@ -31,6 +32,29 @@
     /// Whether it leaves.
     #[serde(default)]
     pub draining: bool,
+    /// Name of the target, by which it knows the calls that are for it.
+    #[serde(default)]
+    pub instance: Option<InstanceId>,
+    /// Start of the target, in milliseconds since the Unix epoch: orders its
+    /// lives.
+    #[serde(default)]
+    pub incarnation: Incarnation,
+    /// Number of the announcement within the life.
+    #[serde(default)]
+    pub sequence: Sequence,
+}
+
+impl TargetAnnouncement {
+    /// Returns what orders this announcement among others, if the target names
+    /// itself.
+    fn statement(&self) -> Option<TargetStatement> {
+        Some(TargetStatement {
+            instance: self.instance.clone()?,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            address: self.address,
+        })
+    }
 }
 
 /// Why an announcement was refused.
@@ -50,6 +74,8 @@
     },
     /// The node vouches for as many targets as it may.
     Full,
+    /// A later announcement was taken before, or the target has left.
+    Stale,
 }
 
 impl std::fmt::Display for AnnounceError {
@@ -65,6 +91,7 @@
                     "slots = {announced} is not allowed; allowed: 1 to {allowed}"
                 )
             }
+            AnnounceError::Stale => write!(f, "a later announcement was taken before"),
             AnnounceError::Full => write!(f, "a node vouches for at most {TARGET_LIMIT} targets"),
         }
     }
@@ -77,6 +104,10 @@
 pub struct LocalTarget {
     /// Address on which it takes HTTP.
     pub address: SocketAddr,
+    /// Its name, if it gave one.
+    pub instance: Option<InstanceId>,
+    /// Its life.
+    pub incarnation: Incarnation,
     /// Its slots.
     pub gate: SlotGate,
     slots: Mutex<SlotCount>,
@@ -146,8 +177,13 @@
     node: &NodeHandle,
     announcement: &TargetAnnouncement,
 ) -> Result<(), AnnounceError> {
-    check_announcement(node, announcement)?;
     let now = node.clock.now();
+    check_announcement(node, announcement)?;
+    if let Some(statement) = announcement.statement()
+        && !lock(&node.announces).note(statement)
+    {
+        return Err(AnnounceError::Stale);
+    }
     let expires = now + node.settings.tuning.announce_ttl;
     let target = enter_target(node, announcement, expires)?;
     *lock(&target.expires) = expires;
@@ -188,14 +224,28 @@
     let mut targets = lock(&node.targets.targets);
     if let Some(held) = targets.get(&announcement.service)
         && held.address == announcement.address
+        && held.instance == announcement.instance
+        && held.incarnation == announcement.incarnation
     {
         return Ok(Arc::clone(held));
     }
+    // What served at this address before is gone: its connections and its
+    // queue must not be taken for those of the newcomer.
+    node.target_pool.forget(announcement.address);
+    targets.retain(|service, held| {
+        let is_kept = held.address != announcement.address && *service != announcement.service;
+        if !is_kept {
+            held.gate.drain();
+        }
+        is_kept
+    });
     if targets.len() >= TARGET_LIMIT && !targets.contains_key(&announcement.service) {
         return Err(AnnounceError::Full);
     }
     let target = Arc::new(LocalTarget {
         address: announcement.address,
+        instance: announcement.instance.clone(),
+        incarnation: announcement.incarnation,
         gate: SlotGate::new(announcement.slots.0, Arc::clone(&node.clock)),
         slots: Mutex::new(announcement.slots),
         is_draining: Mutex::new(false),
@@ -230,6 +280,29 @@
     true
 }
 
+/// Ends the life of a target that says that it leaves. Returns whether it was
+/// known; a target that this node never held has nothing to withdraw.
+/// `incarnation` names the life that ends, where the target says so: one that
+/// has started again since is not meant.
+pub async fn leave(
+    node: &NodeHandle,
+    instance: &InstanceId,
+    incarnation: Option<Incarnation>,
+) -> bool {
+    if !lock(&node.announces).leave(instance, incarnation) {
+        return false;
+    }
+    let held = node
+        .targets
+        .all()
+        .into_iter()
+        .find(|(_, target)| target.instance.as_ref() == Some(instance));
+    match held {
+        Some((service, _)) => withdraw(node, &service).await,
+        None => false,
+    }
+}
+
 /// Makes every gate refuse new calls and tells the others.
 pub async fn drain_all(node: &NodeHandle) {
     for (_, target) in node.targets.all() {
