ingress, gate: start pipelined reads early and serve calls that can be in time

(2) The gate's queue was ordered by deadline alone; once the portal was short of targets, every call waited until it was late and many were cut at their deadline while they ran. (3) A storm of versions was read one version at a time by every node.

Changes: look ahead at heads that have arrived and start idempotent calls early; in-time calls first, a few late ones may wait, hopeless ones are refused as soon as that is known; a pause after a document; not ready until it was ready once; 0.4 of the limit.

Ruled out: a second HTTP implementation at the ingress; holding late calls behind all others (they would be refused in the end, after a long wait).

Tests: a node that stops before it was ready (new); the others follow.

--- a/src/gate/slots.rs
+++ b/src/gate/slots.rs
@@ -1,10 +1,12 @@
 //! The slots of a target and the short queue in front of them.
 //!
-//! A call that cannot start before its deadline is refused when it arrives,
-//! not when the deadline is over: by then its caller has waited for nothing
-//! and a slot may have been spent on an answer that nobody takes. The queue is
-//! ordered by class, then by deadline. A plain semaphore is first come, first
-//! served, and under overload serves only calls that are about to give up.
+//! The load pattern: for some seconds more calls come than the target can run.
+//! Served in the order of arrival, all of them would be late, and slots would
+//! be spent on answers that nobody waits for any more. So a call that cannot
+//! end before its deadline is refused when it arrives, with the time after which
+//! there is room. Of those that wait, the ones that can still be in time go
+//! first, by class, priority and aim; the others get what is left, and only a
+//! few of them may wait, since most would be refused in the end.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -21,6 +23,13 @@
 /// Waiting calls allowed for each slot.
 pub const QUEUE_PER_SLOT: usize = 4;
 
+/// Late calls that may wait, as a share of the slots.
+const LATE_PER_SLOT: f64 = 0.4;
+
+/// Part of the expected run that a call needs to have a chance: run times
+/// spread, and short runs are common.
+const LEAST_RUN: f64 = 0.6;
+
 /// Share of the running mean that a new sample gets is 1 / this.
 const MEAN_WEIGHT: u32 = 8;
 
@@ -38,15 +47,46 @@
     }
 }
 
+/// What a call that waits for a slot needs to know.
+#[derive(Debug, Clone, Copy)]
+pub struct SlotDemand {
+    /// Its rank.
+    pub rank: QueueRank,
+    /// Until when its answer is worth most.
+    pub aim: Instant,
+    /// Until when its answer is worth anything.
+    pub deadline: Instant,
+    /// How long it is expected to hold the slot.
+    pub run: Duration,
+}
+
+impl SlotDemand {
+    /// Tells whether a call that starts at `start` is likely in time.
+    fn is_in_time(&self, start: Instant) -> bool {
+        start + self.run <= self.aim
+    }
+
+    /// Tells whether a call that starts at `start` has a chance to end.
+    fn can_end(&self, start: Instant) -> bool {
+        start < self.deadline && start + self.run.mul_f64(LEAST_RUN) <= self.deadline
+    }
+}
+
 type WaitKey = (QueueRank, Instant, u64);
 
+#[derive(Debug)]
+struct WaitingCall {
+    demand: SlotDemand,
+    sender: oneshot::Sender<Result<SlotPermit, RefusalReason>>,
+}
+
 #[derive(Debug)]
 struct GateState {
     slots: usize,
     busy: usize,
     is_draining: bool,
     next_ticket: u64,
-    waiting: BTreeMap<WaitKey, oneshot::Sender<Result<SlotPermit, RefusalReason>>>,
+    waiting: BTreeMap<WaitKey, WaitingCall>,
     mean_run: Duration,
 }
 
@@ -119,8 +159,8 @@
             state.is_draining = true;
             std::mem::take(&mut state.waiting)
         };
-        for sender in waiting.into_values() {
-            let _ = sender.send(Err(RefusalReason::Draining));
+        for call in waiting.into_values() {
+            let _ = call.sender.send(Err(RefusalReason::Draining));
         }
     }
 
@@ -150,49 +190,55 @@
         class: CallClass,
         deadline: Instant,
     ) -> Result<SlotPermit, RefusalReason> {
-        let rank = QueueRank::new(class, CallPriority::default());
-        self.acquire_ranked(rank, deadline).await
+        let demand = SlotDemand {
+            rank: QueueRank::new(class, CallPriority::default()),
+            aim: deadline,
+            deadline,
+            run: Duration::ZERO,
+        };
+        self.acquire_for(demand).await
     }
 
-    /// Waits for a slot, in the order of `rank`.
+    /// Waits for a slot, in the order that the demand gives.
     ///
     /// # Errors
     ///
     /// As of [`Self::acquire`].
-    pub async fn acquire_ranked(
-        &self,
-        rank: QueueRank,
-        deadline: Instant,
-    ) -> Result<SlotPermit, RefusalReason> {
-        let receiver = match self.try_enter(rank, deadline)? {
+    pub async fn acquire_for(&self, demand: SlotDemand) -> Result<SlotPermit, RefusalReason> {
+        let receiver = match self.try_enter(demand)? {
             Entry::Admitted(permit) => return Ok(permit),
             Entry::Waiting(receiver) => receiver,
         };
         receiver.await.unwrap_or(Err(RefusalReason::Draining))
     }
 
-    fn try_enter(&self, rank: QueueRank, deadline: Instant) -> Result<Entry, RefusalReason> {
+    fn try_enter(&self, demand: SlotDemand) -> Result<Entry, RefusalReason> {
         let now = self.clock.now();
         let mut state = lock(&self.state);
         if state.is_draining {
             return Err(RefusalReason::Draining);
         }
-        if now >= deadline {
+        if now >= demand.deadline {
             return Err(RefusalReason::Deadline);
         }
         if state.busy < state.slots && state.waiting.is_empty() {
             state.busy += 1;
             return Ok(Entry::Admitted(self.permit(now)));
         }
-        let ahead = state.waiting.range(..(rank, deadline, u64::MAX)).count();
-        if now + state.expected_wait(ahead) > deadline {
+        let place = (demand.rank, demand.aim, u64::MAX);
+        let ahead = state.waiting.range(..place).count();
+        let start = now + state.expected_wait(ahead);
+        if !demand.can_end(start) {
             return Err(RefusalReason::Saturated);
         }
-        state.make_room(rank, deadline)?;
+        if !demand.is_in_time(start) && !state.has_room_for_late(now) {
+            return Err(RefusalReason::Saturated);
+        }
+        state.make_room(&demand)?;
         let (sender, receiver) = oneshot::channel();
-        let ticket = state.next_ticket;
+        let key = (demand.rank, demand.aim, state.next_ticket);
         state.next_ticket += 1;
-        state.waiting.insert((rank, deadline, ticket), sender);
+        state.waiting.insert(key, WaitingCall { demand, sender });
         Ok(Entry::Waiting(receiver))
     }
 
@@ -206,20 +252,16 @@
     /// Gives free slots to the calls that wait, skipping those that gave up.
     fn hand_out(&self) {
         let now = self.clock.now();
+        self.refuse_hopeless(now);
         loop {
             let mut state = lock(&self.state);
             if state.busy >= state.slots {
                 return;
             }
-            let Some(((_, deadline, _), sender)) = state.waiting.pop_first() else {
+            let Some(call) = state.take_next(now) else {
                 return;
             };
-            if now >= deadline {
-                drop(state);
-                let _ = sender.send(Err(RefusalReason::Deadline));
-                continue;
-            }
-            if sender.is_closed() {
+            if call.sender.is_closed() {
                 continue;
             }
             check(Rule::DrainedGate, !state.is_draining);
@@ -227,7 +269,19 @@
             drop(state);
             // When the receiver is gone the permit comes back here and its
             // drop frees the slot again.
-            drop(sender.send(Ok(self.permit(now))));
+            drop(call.sender.send(Ok(self.permit(now))));
+        }
+    }
+
+    /// Refuses the calls that cannot end any more, as soon as that is known.
+    fn refuse_hopeless(&self, now: Instant) {
+        let hopeless: Vec<WaitingCall> = lock(&self.state)
+            .waiting
+            .extract_if(.., |_, call| !call.demand.can_end(now))
+            .map(|(_, call)| call)
+            .collect();
+        for call in hopeless {
+            let _ = call.sender.send(Err(RefusalReason::Deadline));
         }
     }
 }
@@ -239,25 +293,49 @@
 
 impl GateState {
     fn expected_wait(&self, ahead: usize) -> Duration {
-        let turns = (ahead + 1).div_ceil(self.slots.max(1));
-        self.mean_run * u32::try_from(turns).unwrap_or(u32::MAX)
+        // Of `slots` running calls one ends every `mean_run / slots`.
+        let slots = u32::try_from(self.slots.max(1)).unwrap_or(u32::MAX);
+        let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+        self.mean_run / slots * ahead
+    }
+
+    fn has_room_for_late(&self, now: Instant) -> bool {
+        let late = self
+            .waiting
+            .values()
+            .filter(|call| !call.demand.is_in_time(now))
+            .count();
+        (late as f64) < self.slots as f64 * LATE_PER_SLOT
+    }
+
+    /// Takes the first call that can be in time, else the first one.
+    fn take_next(&mut self, now: Instant) -> Option<WaitingCall> {
+        let in_time = self
+            .waiting
+            .iter()
+            .find(|(_, call)| call.demand.is_in_time(now))
+            .map(|(key, _)| *key);
+        match in_time {
+            Some(key) => self.waiting.remove(&key),
+            None => self.waiting.pop_first().map(|(_, call)| call),
+        }
     }
 
     /// Refuses the newcomer or the last of the queue, whichever is served later.
-    fn make_room(&mut self, rank: QueueRank, deadline: Instant) -> Result<(), RefusalReason> {
+    fn make_room(&mut self, demand: &SlotDemand) -> Result<(), RefusalReason> {
         // A caller that gave up must not take the place of one that waits.
-        self.waiting.retain(|_, sender| !sender.is_closed());
+        self.waiting.retain(|_, call| !call.sender.is_closed());
         if self.waiting.len() < self.slots.max(1) * QUEUE_PER_SLOT {
             return Ok(());
         }
         let Some(last) = self.waiting.last_entry() else {
             return Ok(());
         };
-        let (last_rank, last_deadline, _) = *last.key();
-        if (last_rank, last_deadline) <= (rank, deadline) {
+        let (last_rank, last_aim, _) = *last.key();
+        if (last_rank, last_aim) <= (demand.rank, demand.aim) {
             return Err(RefusalReason::Saturated);
         }
-        let _ = last.remove().send(Err(RefusalReason::Saturated));
+        let _ = last.remove().sender.send(Err(RefusalReason::Saturated));
         Ok(())
     }
 }
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -30,7 +30,7 @@
 
 /// Part of a shared limit that is used. A retry makes its own calls again, and
 /// those count as retries of other services, which no node here can see.
-const SHARED_USE: f64 = 0.5;
+const SHARED_USE: f64 = 0.4;
 
 /// Least number of retries that one node keeps of a shared slack.
 const LEAST_SHARE: f64 = 2.0;
--- a/src/route/size.rs
+++ b/src/route/size.rs
@@ -59,10 +59,14 @@
         means.insert(route.clone(), AnswerSize { bytes, run: took });
     }
 
+    /// Returns the means of a route that had answers.
+    pub fn held(&self, route: &RouteName) -> Option<AnswerSize> {
+        lock(&self.means).get(route).copied()
+    }
+
     /// Returns what to expect of the next answer.
     pub fn expect(&self, route: &RouteName) -> AnswerSize {
-        let held = lock(&self.means).get(route).copied();
-        held.unwrap_or(AnswerSize {
+        self.held(route).unwrap_or(AnswerSize {
             bytes: FIRST_GUESS,
             run: FIRST_RUN,
         })
--- a/tests/integration/process_stop.rs
+++ b/tests/integration/process_stop.rs
@@ -266,3 +266,26 @@
     cluster.remove_folder();
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_stops_before_it_was_ready_denies_no_route() -> Result<()> {
+    let mut cluster = TestCluster::prepare(ClusterPlan {
+        nodes: 1,
+        tuning: "lame_duck_ms = 1000".to_owned(),
+        ..ClusterPlan::default()
+    })?;
+    // Without the log it learns no configuration and stays in its start.
+    cluster.start_node(0)?;
+    cluster.wait_node_open(0).await?;
+    cluster.node(0).signal("TERM");
+    let mut replies = 0;
+    while let Ok(reply) = client::get(cluster.ingress(0), "/portal").await {
+        assert_eq!(reply.status, 503, "{}", reply.text());
+        assert_eq!(reply.header("wisteriaturn-reason"), "not-ready");
+        replies += 1;
+    }
+    assert!(replies > 0, "the port stays open for the lame duck's time");
+    assert_eq!(cluster.node(0).wait().await?, 0);
+    cluster.remove_folder();
+    Ok(())
+}
--- a/wisteriaturnd/src/documents.rs
+++ b/wisteriaturnd/src/documents.rs
@@ -26,6 +26,11 @@
 /// Pauses after a failed read grow between these bounds, with jitter.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
+/// Pause after a document, in which more may come: versions in quick succession
+/// are then read together. A quarter of the time in which the fastest users want
+/// a change in force.
+const GATHER_TIME: Duration = Duration::from_millis(500);
+
 /// Where a node stands in its source.
 #[derive(Debug)]
 struct SourceReader {
@@ -47,7 +52,13 @@
             Some(from) => port.follow(from, POLL_TIME).await,
         };
         match read {
-            Ok(batch) => reader.take(&node, batch),
+            Ok(batch) => {
+                let is_news = batch.newest.is_some();
+                reader.take(&node, batch);
+                if is_news {
+                    tokio::time::sleep(jittered(GATHER_TIME)).await;
+                }
+            }
             Err(error) => reader.pause(&error).await,
         }
     }
@@ -79,12 +90,15 @@
             log::warn!(event = "source-lost", error:% = error; "config");
             self.is_lost = true;
         }
-        let jitter = rand::rng().random_range(0.7..1.3);
-        tokio::time::sleep(self.backoff.mul_f64(jitter)).await;
+        tokio::time::sleep(jittered(self.backoff)).await;
         self.backoff = (self.backoff * 2).min(BACKOFF.1);
     }
 }
 
+fn jittered(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(0.7..1.3))
+}
+
 /// Puts a document in force if it is newer than what is.
 fn adopt(node: &NodeHandle, document: ConfigDocument) {
     let version = document.version;
--- a/wisteriaturnd/src/gate/port.rs
+++ b/wisteriaturnd/src/gate/port.rs
@@ -78,17 +78,17 @@
     let map = request.headers();
     let service: ServiceName = headers::parsed(map, &headers::SERVICE)?;
     let is_idempotent: bool = headers::parsed(map, &headers::IDEMPOTENT)?;
+    let left = headers::deadline(map, &headers::DEADLINE_MS)?;
+    let aim = headers::deadline(map, &headers::AIM_MS);
     let key = map.get(headers::IDEMPOTENCY_KEY).filter(|_| !is_idempotent);
     Some(GateCall {
         call: headers::parsed(map, &headers::CALL)?,
         class: headers::parsed(map, &headers::CLASS)?,
         priority: headers::parsed(map, &headers::PRIORITY).unwrap_or_default(),
         request_id: map.get(&node.edge.request_id).cloned(),
-        deadline: CallDeadline::of_call(
-            &node.clock,
-            headers::deadline(map, &headers::DEADLINE_MS)?,
-            None,
-        ),
+        route: headers::parsed(map, &headers::ROUTE),
+        aim: CallDeadline::of_call(&node.clock, left, aim),
+        deadline: CallDeadline::of_call(&node.clock, left, None),
         is_idempotent,
         fingerprint: headers::parsed(map, &headers::FINGERPRINT)?,
         key: key.map(|key| KeyHash::of_key(&service, key.as_bytes())),
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -8,6 +8,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -19,7 +20,7 @@
 use wisteriaturn::gate::ledger::{BODY_LIMIT, CallEnd, CallTicket, KeptAnswer};
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::quarantine::RequestStanding;
-use wisteriaturn::gate::slots::{QueueRank, SlotPermit};
+use wisteriaturn::gate::slots::{QueueRank, SlotDemand, SlotPermit};
 use wisteriaturn::ids::KeyHash;
 use wisteriaturn::peer::message::InquiryAnswer;
 
@@ -88,6 +89,7 @@
         target,
     } = admitted;
     let address = target.address;
+    let started = node.clock.now();
     node.metrics.target_runs.inc();
     let (response, link) = match send(node, call, link, &target, request).await {
         SendEnd::Answered(response, link) => (*response, link),
@@ -103,6 +105,9 @@
     let stall = node.settings.tuning.stall_timeout;
     let body = pooled_body(body, link, &node.target_pool, stall, move |end| {
         drop(permit);
+        if end == BodyEnd::Whole {
+            note_run(&owner, &call, started);
+        }
         note_end(owner, &call, address, end);
     });
     Response::from_parts(parts, body)
@@ -167,6 +172,7 @@
         target,
     } = admitted;
     let address = target.address;
+    let started = node.clock.now();
     let sent = send(node, &call, link, &target, request).await;
     let run = StartedRun {
         node: node.clone(),
@@ -174,6 +180,7 @@
         ticket,
         permit,
         address,
+        started,
     };
     match sent {
         SendEnd::Answered(response, link) => run.deliver(*response, link).await,
@@ -190,6 +197,7 @@
     ticket: CallTicket,
     permit: SlotPermit,
     address: SocketAddr,
+    started: Instant,
 }
 
 impl StartedRun {
@@ -239,6 +247,7 @@
 
     fn keep(self, kept: KeptAnswer) -> Response<NodeBody> {
         drop(self.permit);
+        note_run(&self.node, &self.call, self.started);
         let response = kept_response(&kept);
         self.ticket.end(CallEnd::Answered(kept));
         note_end(self.node, &self.call, self.address, BodyEnd::Whole);
@@ -288,8 +297,13 @@
         .get(&call.service)
         .ok_or(RefusalReason::NoTarget)?;
     let until = call.deadline.at();
-    let rank = QueueRank::new(call.class, call.priority);
-    let acquired = timeout_at(until.into(), target.gate.acquire_ranked(rank, until)).await;
+    let demand = SlotDemand {
+        rank: QueueRank::new(call.class, call.priority),
+        aim: call.aim.at(),
+        deadline: until,
+        run: expected_run(node, call, &target),
+    };
+    let acquired = timeout_at(until.into(), target.gate.acquire_for(demand)).await;
     let permit = acquired.map_err(|_| RefusalReason::Deadline)??;
     let waited = node.clock.now().duration_since(now);
     node.metrics.gate_wait_seconds.observe(waited.as_secs_f64());
@@ -304,6 +318,21 @@
     })
 }
 
+/// Returns how long a call is expected to hold its slot: as long as those of its
+/// route, or as any if there was none yet.
+fn expected_run(node: &NodeHandle, call: &GateCall, target: &LocalTarget) -> Duration {
+    let of_route = call.route.as_ref().and_then(|route| node.runs.held(route));
+    of_route.map_or_else(|| target.gate.load().mean_run, |held| held.run)
+}
+
+/// Notes how long a call held its slot.
+fn note_run(node: &NodeHandle, call: &GateCall, started: Instant) {
+    if let Some(route) = &call.route {
+        let took = node.clock.now().saturating_duration_since(started);
+        node.runs.note(route, 0, took);
+    }
+}
+
 async fn connect(
     node: &NodeHandle,
     call: &GateCall,
--- a/wisteriaturnd/src/hop.rs
+++ b/wisteriaturnd/src/hop.rs
@@ -18,7 +18,7 @@
 use wisteriaturn::gate::ledger::BODY_LIMIT;
 use wisteriaturn::gate::outcome::RefusalReason;
 use wisteriaturn::ids::{
-    CallId, CallPriority, Fingerprint, KeyHash, LifeId, NodeAddress, ServiceName,
+    CallId, CallPriority, Fingerprint, KeyHash, LifeId, NodeAddress, RouteName, ServiceName,
 };
 use wisteriaturn::peer::message::{InquiryAnswer, PeerAnswer, PeerRequest, decode};
 use wisteriaturn::retry::deadline::CallDeadline;
@@ -57,6 +57,10 @@
     pub class: CallClass,
     /// Rank within the class.
     pub priority: CallPriority,
+    /// Route by which it came.
+    pub route: Option<RouteName>,
+    /// Until when its answer is worth most.
+    pub aim: CallDeadline,
     /// The caller's name for its attempt.
     pub request_id: Option<HeaderValue>,
     /// When the answer must be there.
@@ -96,6 +100,14 @@
     headers::set(headers, headers::SERVICE, &call.service);
     headers::set(headers, headers::CLASS, call.class.name());
     headers::set(headers, headers::PRIORITY, call.priority);
+    headers::set(
+        headers,
+        headers::AIM_MS,
+        call.aim.remaining(now).as_millis(),
+    );
+    if let Some(route) = &call.route {
+        headers::set(headers, headers::ROUTE, route);
+    }
     headers::set(headers, headers::IDEMPOTENT, call.is_idempotent);
     headers::set(headers, headers::FINGERPRINT, call.fingerprint);
 }
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -80,8 +80,8 @@
     pub service: Arc<ServiceEntry>,
     /// The caller's name for its attempt.
     pub request_id: Option<HeaderValue>,
-    /// When the call came.
-    pub arrived: Instant,
+    /// Until when its answer is worth most.
+    pub aim: CallDeadline,
     /// When the answer must be there.
     pub deadline: CallDeadline,
     /// Whether running it twice does no harm.
@@ -260,10 +260,9 @@
 /// time an answer is worth most.
 fn demand(node: &NodeHandle, call: &RoutedCall, now: Instant) -> Option<CallDemand> {
     call.route.spec.target_latency_ms?;
-    let spent = now.duration_since(call.arrived);
     let expected = node.sizes.expect(&call.route.spec.name);
     Some(CallDemand {
-        aim: call.route.spec.target_latency().saturating_sub(spent),
+        aim: call.aim.remaining(now),
         deadline: call.deadline.remaining(now),
         answer_bytes: expected.bytes,
         run: expected.run,
@@ -350,6 +349,8 @@
         call: CallId(rand::random()),
         class: call.route.spec.class,
         priority: call.route.spec.priority,
+        route: Some(call.route.spec.name.clone()),
+        aim: call.aim,
         request_id: call.request_id.clone(),
         deadline: call.deadline,
         is_idempotent: call.is_idempotent,
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use http_body_util::Limited;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
@@ -24,7 +24,7 @@
 use crate::ingress::attempt::{self, RoutedCall};
 use crate::logs::Clean;
 use crate::metrics::CallLabels;
-use crate::node::{NodeHandle, NodeStage};
+use crate::node::NodeHandle;
 
 /// Largest head of a request in bytes.
 pub const HEAD_LIMIT: usize = 64 * 1024;
@@ -32,6 +32,10 @@
 /// When a caller may come again whose call met no target at all.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Part of a call's target latency that its caller's own connection takes: the
+/// way to the node and back within a region.
+const CALLER_TRIP: Duration = Duration::from_millis(16);
+
 /// What is known of a call when it ends, for its log line and metrics.
 #[derive(Debug)]
 struct CallRecord {
@@ -74,7 +78,7 @@
 }
 
 /// Serves one request of a caller.
-pub async fn handle(node: &NodeHandle, request: Request<Incoming>) -> Response<NodeBody> {
+pub async fn handle(node: &NodeHandle, request: Request<NodeBody>) -> Response<NodeBody> {
     let started = node.clock.now();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
@@ -119,8 +123,24 @@
     permit: RoutePermit,
 }
 
-async fn serve(node: &NodeHandle, request: Request<Incoming>) -> Result<ServedCall, RefusalReason> {
-    if node.current_stage() == NodeStage::Starting {
+/// Tells whether a request may be started early: whether its route is known and
+/// its calls are idempotent.
+pub fn is_repeatable<B>(node: &NodeHandle, request: &Request<B>) -> bool {
+    let view = node.view.load();
+    let Some(host) = host_of(request) else {
+        return false;
+    };
+    let route = view.config.find_route(&host, request.uri().path());
+    route.is_some_and(|route| {
+        let is_idempotent = route.spec.idempotent;
+        is_idempotent.unwrap_or_else(|| request.method().is_idempotent())
+    })
+}
+
+async fn serve(node: &NodeHandle, request: Request<NodeBody>) -> Result<ServedCall, RefusalReason> {
+    // A node that is stopped while it starts is past that stage, but knows as
+    // little as before.
+    if !node.was_ready.load(Ordering::Acquire) {
         return Err(RefusalReason::NotReady);
     }
     let view = node.view.load();
@@ -152,7 +172,7 @@
 fn check_framing(
     node: &NodeHandle,
     view: &ServingView,
-    request: &Request<Incoming>,
+    request: &Request<NodeBody>,
 ) -> Result<(), RefusalReason> {
     let map = request.headers();
     let has_both = map.contains_key(CONTENT_LENGTH) && map.contains_key(TRANSFER_ENCODING);
@@ -180,7 +200,7 @@
 
 /// Returns the bytes of a request's head. The connection's buffer bounds them
 /// only roughly, since it grows by whole reads.
-fn head_bytes(request: &Request<Incoming>) -> usize {
+fn head_bytes<B>(request: &Request<B>) -> usize {
     let headers: usize = request
         .headers()
         .iter()
@@ -189,7 +209,7 @@
     headers + request.uri().to_string().len()
 }
 
-fn host_of(request: &Request<Incoming>) -> Option<String> {
+fn host_of<B>(request: &Request<B>) -> Option<String> {
     match request.uri().host() {
         Some(host) => Some(host.to_owned()),
         None => headers::text(request.headers(), &HOST).map(str::to_owned),
@@ -201,7 +221,7 @@
     view: Arc<ServingView>,
     route: Arc<RouteEntry>,
     deadline: CallDeadline,
-    request: Request<Incoming>,
+    request: Request<NodeBody>,
 ) -> Result<RoutedCall, RefusalReason> {
     let (mut parts, body) = request.into_parts();
     headers::strip_hop_by_hop(&mut parts.headers);
@@ -237,6 +257,8 @@
         .await
         .map_err(|_| RefusalReason::Deadline)?
         .map_err(|_| RefusalReason::BadRequest)?;
+    let aim = route.spec.target_latency().saturating_sub(CALLER_TRIP);
+    let aim = CallDeadline::of_call(&node.clock, aim, Some(deadline.remaining(node.clock.now())));
     let service = choose_service(&route);
     let fingerprint = match key.as_ref().filter(|_| !is_idempotent) {
         Some(key) => {
@@ -260,7 +282,7 @@
         route,
         service,
         request_id,
-        arrived: node.clock.now(),
+        aim,
         deadline,
         is_idempotent,
         has_key: key.is_some(),
--- a/wisteriaturnd/src/ingress/mod.rs
+++ b/wisteriaturnd/src/ingress/mod.rs
@@ -5,4 +5,5 @@
 
 pub mod attempt;
 pub mod call;
+pub mod pipeline;
 pub mod port;
--- a/wisteriaturnd/src/ingress/port.rs
+++ b/wisteriaturnd/src/ingress/port.rs
@@ -4,6 +4,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::ingress::call;
+use crate::ingress::pipeline::{CallPipeline, PeekStream};
 use crate::listener::{PortLimits, accept_until_stopped, serve_http};
 use crate::node::NodeHandle;
 
@@ -25,10 +26,9 @@
         tracker,
         limits,
         move |node, stream| async move {
-            serve_http(&node, stream, limits, |request| {
-                call::handle(&node, request)
-            })
-            .await;
+            let pipeline = CallPipeline::new(node.clone());
+            let stream = PeekStream::new(stream, pipeline.clone());
+            serve_http(&node, stream, limits, |request| pipeline.answer(request)).await;
         },
     )
     .await;
--- a/wisteriaturnd/src/listener.rs
+++ b/wisteriaturnd/src/listener.rs
@@ -18,6 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore};
 use tokio_io_timeout::TimeoutStream;
@@ -102,8 +103,9 @@
 }
 
 /// Serves HTTP on one connection until it closes or the node stops.
-pub async fn serve_http<F, T>(node: &NodeHandle, stream: TcpStream, limits: PortLimits, handle: F)
+pub async fn serve_http<S, F, T>(node: &NodeHandle, stream: S, limits: PortLimits, handle: F)
 where
+    S: AsyncRead + AsyncWrite + Send + Unpin,
     F: Fn(Request<Incoming>) -> T,
     T: Future<Output = Response<NodeBody>>,
 {
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -104,6 +104,8 @@
     pub announces: Mutex<AnnounceBook>,
     /// Size of the answers of each route.
     pub sizes: SizeBook,
+    /// Time that the targets on this VM take for calls of each route.
+    pub runs: SizeBook,
     /// Claims that this gate asks for.
     pub claims: ClaimDesk,
     /// Claim streams that this node writes.
@@ -122,6 +124,9 @@
     pub stage: watch::Sender<NodeStage>,
     /// Wakes the task that joins members into the view.
     pub members_changed: Notify,
+    /// Whether the node was ready once in its life: before that it knows no
+    /// configuration that it could refuse a route by.
+    pub was_ready: AtomicBool,
     /// Whether a pull of the configuration is under way.
     pub is_pulling: AtomicBool,
     /// Whether a comparison of members is under way.
@@ -278,6 +283,7 @@
             edge: self.edge,
             announces: Mutex::new(AnnounceBook::new()),
             sizes: SizeBook::new(),
+            runs: SizeBook::new(),
             claims,
             keeper,
             udp,
@@ -287,6 +293,7 @@
             source_version: watch::Sender::new(None),
             stage: watch::Sender::new(NodeStage::Starting),
             members_changed: Notify::new(),
+            was_ready: AtomicBool::new(false),
             is_pulling: AtomicBool::new(false),
             is_comparing: AtomicBool::new(false),
             losses: AtomicU64::new(0),
--- a/wisteriaturnd/src/start.rs
+++ b/wisteriaturnd/src/start.rs
@@ -6,6 +6,7 @@
 //! older view would break the promise that no proxy ever moves back.
 
 use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -70,6 +71,7 @@
         }
         backoff = (backoff * 2).min(BACKOFF.1);
     }
+    node.was_ready.store(true, Ordering::Release);
     node.stage.send_if_modified(|stage| {
         let is_starting = *stage == NodeStage::Starting;
         if is_starting {
