tests: cover lives of targets, order in the queue, placement, answers and early reads

Ruled out: a simulation of a mesh for them; each is driven by a clock that the test moves, and one by real processes.

--- /dev/null
+++ b/tests/integration/load_rules.rs
@@ -0,0 +1,278 @@
+//! How calls wait, are turned away and placed: the decisions under the load
+//! patterns that their modules name, with a clock that the test moves.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use wisteriaturn::clock::{Clock, ManualClock, SharedClock};
+use wisteriaturn::config::resource::{CallClass, PolicySpec};
+use wisteriaturn::config::view::TargetEntry;
+use wisteriaturn::gate::outcome::RefusalReason;
+use wisteriaturn::gate::slots::{QueueRank, SlotDemand, SlotGate};
+use wisteriaturn::ids::{CallPriority, Incarnation, NodeAddress};
+use wisteriaturn::retry::budget::{RetryBudget, RetryLimit};
+use wisteriaturn::route::choose::NodePlace;
+use wisteriaturn::route::load::{AttemptResult, ServiceLoad};
+use wisteriaturn::route::place::{CallDemand, PlacedCall, place_call};
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A gate with one slot that is taken by a call of 100 ms on average.
+async fn busy_gate() -> (
+    SlotGate,
+    Arc<ManualClock>,
+    wisteriaturn::gate::slots::SlotPermit,
+) {
+    let clock = ManualClock::new();
+    let gate = SlotGate::new(1, Arc::clone(&clock) as SharedClock);
+    let until = clock.now() + ms(10_000);
+    let first = gate.acquire(CallClass::Interactive, until).await;
+    clock.advance(ms(100));
+    drop(first.expect("a free slot"));
+    let held = gate.acquire(CallClass::Interactive, until).await;
+    (gate, clock, held.expect("a free slot"))
+}
+
+fn demand(clock: &ManualClock, priority: u8, aim: u64, deadline: u64) -> SlotDemand {
+    SlotDemand {
+        rank: QueueRank::new(CallClass::Interactive, CallPriority(priority)),
+        aim: clock.now() + ms(aim),
+        deadline: clock.now() + ms(deadline),
+        run: ms(100),
+    }
+}
+
+async fn wait_in(
+    gate: &SlotGate,
+    demand: SlotDemand,
+) -> tokio::task::JoinHandle<Option<RefusalReason>> {
+    let waiting = gate.load().waiting;
+    let other = gate.clone();
+    let task = tokio::spawn(async move {
+        match other.acquire_for(demand).await {
+            // The permit is kept, so that the next call does not get the slot.
+            Ok(permit) => {
+                std::mem::forget(permit);
+                None
+            }
+            Err(reason) => Some(reason),
+        }
+    });
+    while gate.load().waiting == waiting && !task.is_finished() {
+        tokio::task::yield_now().await;
+    }
+    task
+}
+
+#[tokio::test]
+async fn calls_that_can_be_in_time_go_before_late_ones() {
+    let (gate, clock, held) = busy_gate().await;
+    // In time it would have to start within 20 ms, and a slot is 100 ms away.
+    let mut late = demand(&clock, 0, 120, 5_000);
+    let late_task = wait_in(&gate, late).await;
+    let timely = wait_in(&gate, demand(&clock, 5, 900, 5_000)).await;
+    clock.advance(ms(100));
+    drop(held);
+    assert_eq!(timely.await.expect("no panic"), None, "in time, lower rank");
+    assert!(!late_task.is_finished(), "the late one waits on");
+    // A second late one finds no room: most late calls are refused in the end.
+    late.aim = clock.now();
+    let second = gate.acquire_for(late).await;
+    assert_eq!(second.err(), Some(RefusalReason::Saturated));
+}
+
+#[tokio::test]
+async fn a_call_that_cannot_end_any_more_is_refused_when_a_slot_frees() {
+    let (gate, clock, held) = busy_gate().await;
+    let hopeless = wait_in(&gate, demand(&clock, 0, 300, 300)).await;
+    let patient = wait_in(&gate, demand(&clock, 0, 5_000, 5_000)).await;
+    // The running call takes far longer than calls usually do.
+    clock.advance(ms(280));
+    drop(held);
+    assert_eq!(
+        hopeless.await.expect("no panic"),
+        Some(RefusalReason::Deadline)
+    );
+    assert_eq!(patient.await.expect("no panic"), None);
+}
+
+#[tokio::test]
+async fn a_free_slot_is_never_refused_and_room_is_told() {
+    let (gate, clock, held) = busy_gate().await;
+    assert_eq!(gate.load().room_after(), ms(100));
+    drop(held);
+    assert_eq!(gate.load().room_after(), Duration::ZERO);
+    let late = demand(&clock, 9, 1, 1_000);
+    assert!(
+        gate.acquire_for(late).await.is_ok(),
+        "late, but a slot is free"
+    );
+}
+
+#[test]
+fn all_nodes_together_stay_within_the_shared_limit() {
+    let limit = RetryLimit {
+        ratio: 0.2,
+        slack: 60.0,
+        window: Duration::from_secs(10),
+    };
+    for (nodes, calls_each) in [(18_usize, 0_u32), (18, 20), (18, 400), (83, 5), (3, 1)] {
+        let clock = ManualClock::new();
+        let budgets: Vec<RetryBudget> = (0..nodes)
+            .map(|_| RetryBudget::shared(Arc::clone(&clock) as SharedClock, limit, nodes))
+            .collect();
+        let mut spent = 0_u32;
+        // One window in which every call fails and would be retried twice.
+        for _ in 0..100 {
+            for budget in &budgets {
+                for _ in 0..calls_each.div_ceil(100) {
+                    budget.note_call(wisteriaturn::ids::Percent(0));
+                    spent += u32::from(budget.try_take()) + u32::from(budget.try_take());
+                }
+                spent += u32::from(budget.try_take());
+            }
+            clock.advance(Duration::from_millis(100));
+        }
+        let calls = calls_each.div_ceil(100) * 100 * nodes as u32;
+        // Each node keeps two retries at least, also in a large mesh.
+        let slack = limit.slack.max(2.0 * nodes as f64 + limit.slack * 0.5);
+        let allowed = limit.ratio * f64::from(calls) + slack;
+        assert!(
+            f64::from(spent) <= allowed,
+            "{nodes} nodes, {calls} calls: {spent}"
+        );
+    }
+}
+
+fn address(host: u8) -> NodeAddress {
+    NodeAddress::from(([127, 0, 0, host], 7083))
+}
+
+fn target(host: u8, region: &str, data_centre: &str, since: Instant) -> TargetEntry {
+    TargetEntry {
+        node: address(host),
+        hop: address(host),
+        incarnation: Incarnation(1),
+        region: region.parse().expect("a name"),
+        data_centre: data_centre.parse().expect("a name"),
+        slots: 6,
+        since,
+        is_suspect: false,
+    }
+}
+
+struct Placement {
+    targets: Vec<TargetEntry>,
+    load: ServiceLoad,
+    now: Instant,
+}
+
+impl Placement {
+    /// One target near, one in the region, one beyond; all warm.
+    fn new() -> Self {
+        let since = Instant::now();
+        Self {
+            targets: vec![
+                target(1, "r1", "r1-a", since),
+                target(2, "r1", "r1-b", since),
+                target(3, "r2", "r2-a", since),
+            ],
+            load: ServiceLoad::default(),
+            now: since + Duration::from_secs(60),
+        }
+    }
+
+    fn fill(&mut self, host: u8, calls: u32) {
+        for _ in 0..calls {
+            let target = self.targets[usize::from(host) - 1].clone();
+            self.load.begin(&target);
+        }
+    }
+
+    fn note(&mut self, host: u8, result: AttemptResult, times: u32) {
+        let target = self.targets[usize::from(host) - 1].clone();
+        let policy = policy();
+        for _ in 0..times {
+            self.load
+                .note_result(&target, result, ms(100), &policy, 3, self.now);
+        }
+    }
+
+    fn choose(&mut self, bytes: f64, aim: u64) -> Option<usize> {
+        let demand = CallDemand {
+            aim: ms(aim),
+            deadline: ms(aim * 4),
+            answer_bytes: bytes,
+            run: ms(160),
+        };
+        let place = NodePlace {
+            region: "r1".parse().expect("a name"),
+            data_centre: "r1-a".parse().expect("a name"),
+        };
+        let call = PlacedCall {
+            demand: &demand,
+            tried: &[],
+        };
+        let mut rng = rand::rng();
+        let policy = policy();
+        place_call(
+            &place,
+            &self.targets,
+            &policy,
+            &mut self.load,
+            call,
+            self.now,
+            &mut rng,
+        )
+        .chosen
+    }
+}
+
+fn policy() -> PolicySpec {
+    PolicySpec::default_for("portal".parse().expect("a name"))
+}
+
+#[test]
+fn calls_stay_near_while_they_are_in_time_there() {
+    let mut placement = Placement::new();
+    assert_eq!(placement.choose(1_500.0, 500), Some(0));
+    placement.fill(1, 5);
+    assert_eq!(placement.choose(1_500.0, 500), Some(0), "one slot is free");
+    placement.fill(1, 12);
+    assert_eq!(
+        placement.choose(1_500.0, 500),
+        Some(1),
+        "the near one is late"
+    );
+    placement.fill(2, 17);
+    assert_eq!(
+        placement.choose(1_500.0, 500),
+        Some(2),
+        "the region is late"
+    );
+}
+
+#[test]
+fn large_answers_cross_no_billed_link_for_a_little_time() {
+    let mut placement = Placement::new();
+    placement.fill(1, 17);
+    placement.fill(2, 17);
+    assert_eq!(placement.choose(1_500.0, 500), Some(2), "a small page may");
+    let archive = placement.choose(90_000.0, 500);
+    assert_eq!(archive, Some(0), "an archive costs more than its lateness");
+}
+
+#[test]
+fn a_target_that_fails_or_cannot_be_reached_is_passed_over_for_a_time() {
+    let mut placement = Placement::new();
+    placement.note(1, AttemptResult::Faulty, 3);
+    assert_eq!(placement.choose(1_500.0, 500), Some(1));
+    placement.now += Duration::from_secs(20);
+    assert_eq!(placement.choose(1_500.0, 500), Some(0), "it is tried again");
+    placement.note(1, AttemptResult::Unreachable(Duration::from_secs(1)), 1);
+    assert_ne!(placement.choose(1_500.0, 500), Some(0));
+    placement.now += Duration::from_secs(20);
+    assert_eq!(placement.choose(1_500.0, 500), Some(0));
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,16 +2,20 @@
 //! real processes. See `docs/PROOFS.md` for what each of them proves.
 
 mod config_fold;
+mod edge_rules;
 mod gate_rules;
 mod hostile_bytes;
 mod inside_cut;
 mod inside_regions;
+mod load_rules;
 mod member_table;
 mod process_answers;
 mod process_config;
 mod process_input;
 mod process_once;
 mod process_path;
+mod process_pipeline;
 mod process_routing;
 mod process_stop;
 mod route_rules;
+mod target_lives;
--- /dev/null
+++ b/tests/integration/target_lives.rs
@@ -0,0 +1,105 @@
+//! Which announcements of targets count, and what a document makes of a
+//! configuration.
+
+use std::net::SocketAddr;
+
+use wisteriaturn::config::document::ConfigDocument;
+use wisteriaturn::config::fold::ConfigState;
+use wisteriaturn::config::resource::{PolicySpec, Resource, ServiceSpec};
+use wisteriaturn::config::validate::Rejection;
+use wisteriaturn::gate::announce::{AnnounceBook, LIFE_LIMIT, TargetStatement};
+use wisteriaturn::ids::{ConfigVersion, Incarnation, InstanceId, Percent, Sequence, SlotCount};
+
+fn instance(name: &str) -> InstanceId {
+    name.parse().expect("a name")
+}
+
+fn statement(name: &str, born: u64, sequence: u64, port: u16) -> TargetStatement {
+    TargetStatement {
+        instance: instance(name),
+        incarnation: Incarnation(born),
+        sequence: Sequence(sequence),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+    }
+}
+
+#[yare::parameterized(
+    later = { statement("a", 10, 6, 80), true },
+    repeated = { statement("a", 10, 5, 80), true },
+    late = { statement("a", 10, 4, 80), false },
+    born_again_counts_anew = { statement("a", 11, 0, 80), true },
+    older_life = { statement("a", 9, 99, 80), false },
+    other_target_took_the_address_over = { statement("b", 12, 0, 80), true },
+    dead_target_at_the_address = { statement("b", 9, 99, 80), false },
+    other_address = { statement("b", 9, 0, 81), true },
+)]
+fn a_statement_counts_when_nothing_later_was_said(said: TargetStatement, counts: bool) {
+    let mut book = AnnounceBook::new();
+    assert!(book.note(statement("a", 10, 5, 80)));
+    assert_eq!(book.note(said), counts);
+}
+
+#[test]
+fn a_life_that_left_stays_gone_and_the_next_one_counts() {
+    let mut book = AnnounceBook::new();
+    assert!(!book.leave(&instance("a"), None), "nobody was there");
+    assert!(book.note(statement("a", 10, 5, 80)));
+    assert!(book.leave(&instance("a"), Some(Incarnation(10))));
+    assert!(!book.note(statement("a", 10, 6, 80)), "a late announcement");
+    assert!(book.note(statement("a", 11, 0, 80)));
+    // The leave of the life before arrives once more.
+    assert!(!book.leave(&instance("a"), Some(Incarnation(10))));
+    assert!(book.note(statement("a", 11, 1, 80)));
+}
+
+#[test]
+fn strangers_cannot_make_the_book_grow() {
+    let mut book = AnnounceBook::new();
+    for number in 0..(LIFE_LIMIT as u64 * 3) {
+        let name = format!("t-{number}");
+        assert!(book.note(statement(&name, 100 + number, 0, 80)));
+    }
+    assert!(
+        !book.note(statement("t-1", 50, 0, 80)),
+        "the address is newer"
+    );
+}
+
+fn service(name: &str) -> Resource {
+    Resource::Service(ServiceSpec {
+        name: name.parse().expect("a name"),
+        permit: vec!["127.0.0.0/8".parse().expect("a range")],
+        max_slots: SlotCount(6),
+        max_connections: 100,
+        retry_percent: Percent(10),
+    })
+}
+
+fn document(version: u64, resources: Vec<Resource>) -> ConfigDocument {
+    ConfigDocument {
+        version: ConfigVersion(version),
+        resources,
+    }
+}
+
+#[test]
+fn a_document_is_accepted_whole_or_rejected_whole() {
+    let good = document(7, vec![service("portal")]);
+    let state = ConfigState::try_from(good.clone()).expect("a valid document");
+    assert_eq!(state.version(), ConfigVersion(7));
+    let again = ConfigState::try_from(good).expect("a valid document");
+    assert_eq!(state.chain(), again.chain(), "one document, one hash");
+    let other = ConfigState::try_from(document(7, vec![service("desk")]));
+    assert_ne!(state.chain(), other.expect("a valid document").chain());
+
+    let twice = document(8, vec![service("portal"), service("portal")]);
+    let rejected = ConfigState::try_from(twice).expect_err("one name, two services");
+    assert!(matches!(rejected, Rejection::WrittenTwice(_)), "{rejected}");
+    let policy = PolicySpec::default_for("desk".parse().expect("a name"));
+    let dangling = document(8, vec![service("portal"), Resource::Policy(policy)]);
+    let rejected = ConfigState::try_from(dangling).expect_err("no such service");
+    assert!(
+        matches!(rejected, Rejection::NoService { .. }),
+        "{rejected}"
+    );
+}
