--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -24,7 +24,7 @@
 use crate::ingress::attempt::{self, RoutedCall};
 use crate::logs::Clean;
 use crate::metrics::CallLabels;
-use crate::node::NodeHandle;
+use crate::node::{NodeHandle, NodeStage};
 
 /// Largest head of a request in bytes.
 pub const HEAD_LIMIT: usize = 64 * 1024;
@@ -143,6 +143,12 @@
     if !node.was_ready.load(Ordering::Acquire) {
         return Err(RefusalReason::NotReady);
     }
+    // Callers were told for a while that this node stops; a call that is taken
+    // now could not end before it does.
+    let has_warned = !node.settings.tuning.lame_duck.is_zero();
+    if has_warned && node.current_stage() == NodeStage::Stopping {
+        return Err(RefusalReason::Draining);
+    }
     let view = node.view.load();
     check_framing(node, &view, &request)?;
     let host = host_of(&request).ok_or(RefusalReason::BadRequest)?;
