route: keep run times by route, spread over targets before one is full

Cause: a gate reported the mean of all its runs. And a target was filled to its last slot by nodes that did not know of each other.

Changes: reports by route that age after 5 s; a cost for the share of slots in use; a pull only when a version is overdue at the source.

--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -8,11 +8,14 @@
 use crate::clock::lock;
 use crate::config::resource::PolicySpec;
 use crate::config::view::TargetEntry;
-use crate::ids::{Incarnation, NodeAddress, ServiceName};
+use crate::ids::{Incarnation, NodeAddress, RouteName, ServiceName};
 
 /// How long a reported load is believed.
 pub const REPORT_TIME: Duration = Duration::from_secs(2);
 
+/// How long a reported time of runs is believed.
+pub const RUN_TIME: Duration = Duration::from_secs(5);
+
 /// How long a target that said it is full is passed over.
 pub const FULL_TIME: Duration = Duration::from_millis(20);
 
@@ -45,10 +48,18 @@
     ejections: u32,
     ejected_until: Option<Instant>,
     full_until: Option<Instant>,
-    mean_run: Option<Duration>,
+    runs: Vec<RouteRun>,
     faults: FaultShare,
 }
 
+/// What a gate reported of the runs of one route.
+#[derive(Debug, Clone)]
+struct RouteRun {
+    route: RouteName,
+    mean: Duration,
+    when: Instant,
+}
+
 /// The share of calls that failed lately. It fades, so that a target which is
 /// passed over for its failures is tried again.
 #[derive(Debug, Clone, Copy, Default)]
@@ -85,14 +96,20 @@
             ejections: 0,
             ejected_until: None,
             full_until: None,
-            mean_run: None,
+            runs: Vec::new(),
             faults: FaultShare::default(),
         }
     }
 
-    /// Returns the mean time of a run that the gate last reported.
-    pub fn mean_run(&self) -> Option<Duration> {
-        self.mean_run
+    /// Returns the mean time of a route's runs, if the gate reported it lately.
+    /// An older report would keep a target that was slow for a time out of use
+    /// for ever, since only a call brings a new one.
+    pub fn mean_run(&self, route: &RouteName, now: Instant) -> Option<Duration> {
+        self.runs
+            .iter()
+            .find(|run| run.route == *route)
+            .filter(|run| now.saturating_duration_since(run.when) < RUN_TIME)
+            .map(|run| run.mean)
     }
 
     /// Returns the share of calls that failed lately, from 0 to 1.
@@ -187,11 +204,27 @@
         }
     }
 
-    /// Takes the mean time of a run that a gate reported with its answer.
-    pub fn note_speed(&mut self, node: NodeAddress, mean_run: Duration) {
-        if let Some(load) = self.targets.get_mut(&node) {
-            load.mean_run = Some(mean_run).filter(|run| !run.is_zero());
-        }
+    /// Takes the mean time of a route's runs that a gate reported with its
+    /// answer. Routes are kept apart: a target that has many short calls is not
+    /// faster than one that has few.
+    pub fn note_speed(
+        &mut self,
+        node: NodeAddress,
+        route: &RouteName,
+        mean: Duration,
+        now: Instant,
+    ) {
+        let Some(load) = self.targets.get_mut(&node) else {
+            return;
+        };
+        load.runs.retain(|run| {
+            run.route != *route && now.saturating_duration_since(run.when) < RUN_TIME
+        });
+        load.runs.push(RouteRun {
+            route: route.clone(),
+            mean,
+            when: now,
+        });
     }
 
     /// Takes the result of an attempt, and ejects the target when it failed
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -18,7 +18,7 @@
 
 use crate::config::resource::PolicySpec;
 use crate::config::view::TargetEntry;
-use crate::ids::NodeAddress;
+use crate::ids::{NodeAddress, RouteName};
 use crate::route::choose::{
     CandidateVerdict, NodePlace, TargetCandidate, TargetChoice, judge, warm_share,
 };
@@ -48,6 +48,11 @@
 /// How much longer a run takes on a target with all slots in use.
 const CROWD_FACTOR: f64 = 0.4;
 
+/// Share of the value that a target with all slots in use costs beyond its
+/// time: it has no room for what other nodes send in the same moment, of which
+/// this one hears only later.
+const CROWD_COST: f64 = 0.08;
+
 /// Share of the value that is put at risk by a target that always fails: one
 /// more attempt is likely, and its time.
 const FAULT_COST: f64 = 0.6;
@@ -71,13 +76,15 @@
     pub deadline: Duration,
     /// Expected size of the answer's body in bytes.
     pub answer_bytes: f64,
-    /// Expected time of a run on a target of mean speed.
+    /// Expected time of a run on a target that reported none.
     pub run: Duration,
 }
 
 /// One attempt that is to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacedCall<'a> {
+    /// Its route.
+    pub route: &'a RouteName,
     /// What the call asks.
     pub demand: &'a CallDemand,
     /// Nodes that had an attempt already.
@@ -101,10 +108,10 @@
     for target in targets {
         candidates.push(judge(place, target, load, call.tried, now));
     }
-    let mean = mean_run(targets, load);
     let mut costs = Vec::with_capacity(targets.len());
     for (target, candidate) in targets.iter().zip(&candidates) {
-        let run = expected_run(target, call.demand, mean, load);
+        let reported = load.get(target).mean_run(call.route, now);
+        let run = reported.unwrap_or(call.demand.run);
         let mut cost = cost(candidate, call.demand, run);
         cost += load.get(target).fault_share(now) * FAULT_COST;
         cost += cold_cost(target, policy, now);
@@ -120,34 +127,6 @@
     TargetChoice { chosen, candidates }
 }
 
-/// Returns the mean run of the targets that reported theirs.
-fn mean_run(targets: &[TargetEntry], load: &mut ServiceLoad) -> Option<Duration> {
-    let mut sum = Duration::ZERO;
-    let mut count = 0;
-    for target in targets {
-        if let Some(run) = load.get(target).mean_run() {
-            sum += run;
-            count += 1;
-        }
-    }
-    (count > 0).then(|| sum / count)
-}
-
-/// Returns the time of a run on one target: that of the route, longer or
-/// shorter as the target is slower or faster than the mean.
-fn expected_run(
-    target: &TargetEntry,
-    demand: &CallDemand,
-    mean: Option<Duration>,
-    load: &mut ServiceLoad,
-) -> Duration {
-    let own = load.get(target).mean_run();
-    match (own, mean) {
-        (Some(own), Some(mean)) => demand.run.mul_f64(own.as_secs_f64() / mean.as_secs_f64()),
-        _ => demand.run,
-    }
-}
-
 /// Returns the cost of a call at one target, as a share of its value.
 pub fn cost(candidate: &TargetCandidate, demand: &CallDemand, run: Duration) -> f64 {
     let distance = usize::from(candidate.distance).min(PRICE_PER_KB.len() - 1);
@@ -158,14 +137,20 @@
     let lost = chance_over(time, demand.deadline) * LATE_VALUE;
     let aim = demand.aim.as_secs_f64().max(0.001);
     let slow = (time.as_secs_f64() / aim).min(1.0) * TIME_COST;
-    transfer + late + lost + slow
+    transfer + late + lost + slow + fill(candidate).powi(2) * CROWD_COST
+}
+
+/// Returns the share of a target's slots that is in use with one more call.
+fn fill(candidate: &TargetCandidate) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    ((f64::from(candidate.busy) + 1.0) / slots).min(1.0)
 }
 
 /// Returns the expected time until a call at a target ends.
 fn completion(candidate: &TargetCandidate, run: Duration) -> Duration {
     let slots = f64::from(candidate.slots.max(1));
     let busy = f64::from(candidate.busy);
-    let fill = ((busy + 1.0) / slots).min(1.0);
+    let fill = fill(candidate);
     let waiting = (busy + 1.0 - slots).max(0.0);
     run.mul_f64(1.0 + CROWD_FACTOR * fill * fill + waiting / slots)
 }
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -54,7 +54,7 @@
     call: GateCall,
     request: Request<NodeBody>,
 ) -> Response<NodeBody> {
-    let service = call.service.clone();
+    let (service, route) = (call.service.clone(), call.route.clone());
     let mut response = if call.is_idempotent {
         run_idempotent(node, &call, request).await
     } else {
@@ -68,7 +68,9 @@
         let load = target.gate.load();
         let map = response.headers_mut();
         headers::set(map, headers::BUSY, load.busy + load.waiting);
-        headers::set(map, headers::MEAN_RUN_US, load.mean_run.as_micros());
+        if let Some(held) = route.and_then(|route| node.runs.held(&route)) {
+            headers::set(map, headers::MEAN_RUN_US, held.run.as_micros());
+        }
         headers::set(map, headers::ROOM_MS, load.room_after().as_millis());
     }
     response
--- a/wisteriaturnd/src/gossip.rs
+++ b/wisteriaturnd/src/gossip.rs
@@ -193,7 +193,7 @@
 fn note_status(node: &NodeHandle, from: SocketAddr, status: NodeStatus) {
     lock(&node.table).note_held(from, status.version);
     let own = node.status();
-    if status.version > own.version {
+    if status.version > own.version && node.is_pull_due(status.version) {
         peer_client::spawn_pull(node, from);
     }
     if status.version == own.version {
--- a/wisteriaturnd/src/headers.rs
+++ b/wisteriaturnd/src/headers.rs
@@ -45,7 +45,8 @@
 pub const ROUTE: HeaderName = HeaderName::from_static("wisteriaturn-route");
 /// Time left within which an answer is worth most, in milliseconds; between nodes.
 pub const AIM_MS: HeaderName = HeaderName::from_static("wisteriaturn-aim-ms");
-/// Mean time that a gate's target takes for a call, in microseconds; between nodes.
+/// Mean time that a gate's target takes for calls of the route, in microseconds;
+/// between nodes.
 pub const MEAN_RUN_US: HeaderName = HeaderName::from_static("wisteriaturn-mean-run-us");
 /// Time after which a gate expects room, in milliseconds; between nodes.
 pub const ROOM_MS: HeaderName = HeaderName::from_static("wisteriaturn-room-ms");
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -245,7 +245,12 @@
         let mut rng = rand::rng();
         match &demand {
             Some(demand) => {
-                let calls = PlacedCall { demand, tried };
+                let route = &call.route.spec.name;
+                let calls = PlacedCall {
+                    route,
+                    demand,
+                    tried,
+                };
                 place_call(&node.place, &targets, policy, load, calls, now, &mut rng)
             }
             None => choose_target(&node.place, &targets, policy, load, tried, now, &mut rng),
@@ -498,7 +503,7 @@
             load.note_report(target.node, busy, now);
         }
         if let Some(mean_run) = end.report.mean_run {
-            load.note_speed(target.node, mean_run);
+            load.note_speed(target.node, &call.route.spec.name, mean_run, now);
         }
         load.note_result(target, result, took, &call.service.policy, all, now)
     });
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -9,7 +9,7 @@
 use std::ops::Deref;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot, watch};
@@ -44,6 +44,10 @@
 use crate::store::ConfigStore;
 use crate::targets::LocalTargets;
 
+/// Time after which a version that peers hold is overdue at the source: a pause
+/// between two reads and a read.
+const OVERDUE_TIME: Duration = Duration::from_millis(900);
+
 /// The stage of a node's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum NodeStage {
@@ -127,6 +131,8 @@
     /// Whether the node was ready once in its life: before that it knows no
     /// configuration that it could refuse a route by.
     pub was_ready: AtomicBool,
+    /// Version that this node heard of and does not hold, and since when.
+    pub awaited: Mutex<Option<(ConfigVersion, Instant)>>,
     /// Whether a pull of the configuration is under way.
     pub is_pulling: AtomicBool,
     /// Whether a comparison of members is under way.
@@ -294,6 +300,7 @@
             stage: watch::Sender::new(NodeStage::Starting),
             members_changed: Notify::new(),
             was_ready: AtomicBool::new(false),
+            awaited: Mutex::default(),
             is_pulling: AtomicBool::new(false),
             is_comparing: AtomicBool::new(false),
             losses: AtomicU64::new(0),
@@ -406,6 +413,27 @@
         self.metrics.note_sent(kind, self.reach(to), bytes);
     }
 
+    /// Tells whether to pull a version that a peer holds. A node that follows a
+    /// source of documents reads it there in a moment, so it leaves the peer's
+    /// link alone until it is overdue.
+    pub fn is_pull_due(&self, version: ConfigVersion) -> bool {
+        if self.documents.is_none() {
+            return true;
+        }
+        let now = self.clock.now();
+        let held = lock(&self.store).version();
+        let mut awaited = lock(&self.awaited);
+        match *awaited {
+            Some((first, since)) if first > held => {
+                now.saturating_duration_since(since) >= OVERDUE_TIME
+            }
+            Some(_) | None => {
+                *awaited = Some((version, now));
+                false
+            }
+        }
+    }
+
     /// Returns the retry budget of a service.
     pub fn budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
         let mut budgets = lock(&self.budgets);
