config: one reader for a data centre, and differences in place of documents

Changes: one ready member of each cell of 24 reads; signs of life 2.5 times a second tell the others which version is in force and that the source answered within 1.3 s; they pull the difference, checked by the hash of its result. A member without signs for 1.2 s reads for itself, so nothing is handed over.

Ruled out: two readers for each data centre (the silence rule makes the second needless); a lease for the role (a paused holder would be followed).

--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -36,18 +36,36 @@
     type Error = Rejection;
 
     fn try_from(document: ConfigDocument) -> Result<Self, Rejection> {
+        document.after(&Self::new())
+    }
+}
+
+impl ConfigDocument {
+    /// Returns the state that this document puts in place of `before`. What did
+    /// not change is shared with it, so that documents cost memory only for
+    /// what they change.
+    ///
+    /// # Errors
+    ///
+    /// [`Rejection`] says what is wrong with the document.
+    pub fn after(self, before: &ConfigState) -> Result<ConfigState, Rejection> {
+        let document = self;
         let revision = Revision(document.version.0);
         let mut resources = ResourceMap::new();
         for resource in document.resources {
             let key = resource.key();
-            let held = Arc::new(HeldResource { revision, resource });
+            let shared = before.resources().get(&key);
+            let held = match shared {
+                Some(shared) if shared.resource == resource => Arc::clone(shared),
+                _ => Arc::new(HeldResource { revision, resource }),
+            };
             if resources.insert(key.clone(), held).is_some() {
                 return Err(Rejection::WrittenTwice(key));
             }
         }
         validate(&resources)?;
         let chain = document_hash(document.version, &resources)?;
-        Ok(Self::from_parts(
+        Ok(ConfigState::from_parts(
             document.version,
             chain,
             resources,
@@ -58,7 +76,10 @@
 
 /// Hashes a document, so that two nodes at one version can see that they hold
 /// the same one.
-fn document_hash(version: ConfigVersion, resources: &ResourceMap) -> Result<ChainHash, Rejection> {
+pub(crate) fn document_hash(
+    version: ConfigVersion,
+    resources: &ResourceMap,
+) -> Result<ChainHash, Rejection> {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&version.0.to_le_bytes());
     for held in resources.values() {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -13,6 +13,7 @@
 //! See [docs/DESIGN.md](../../docs/DESIGN.md#2-configuration).
 
 pub mod change;
+pub mod delta;
 pub mod document;
 pub mod fold;
 pub mod resource;
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -15,4 +15,5 @@
 pub mod record;
 pub mod relay;
 pub mod rumor;
+pub mod source;
 pub mod table;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::config::delta::DocumentDelta;
 use crate::error::CodecError;
 use crate::gate::claim::{ClaimDemand, ClaimVerdict};
 use crate::gate::ledger::CallEnd;
@@ -85,6 +86,12 @@
             /// The news.
             rumors: Vec<Rumor>,
         },
+        /// Says that the sender reads the source of documents for the receiver
+        /// and had an answer just now.
+        SourceAlive {
+            /// Version in force at the sender.
+            version: ConfigVersion,
+        },
     }
 
     /// A request over a connection.
@@ -169,6 +176,8 @@
         Claimed(Vec<ClaimVerdict>),
         /// What a gate said of a call.
         Inquired(InquiryAnswer),
+        /// What changed since the document that the asker holds.
+        Delta(DocumentDelta),
     }
 
     /// What a gate says of a call that it was asked about.
--- a/tests/integration/load_rules.rs
+++ b/tests/integration/load_rules.rs
@@ -245,7 +245,11 @@
     let mut placement = Placement::new();
     assert_eq!(placement.choose(1_500.0, 500), Some(0));
     placement.fill(1, 2);
-    assert_eq!(placement.choose(1_500.0, 500), Some(0), "half of it is free");
+    assert_eq!(
+        placement.choose(1_500.0, 500),
+        Some(0),
+        "half of it is free"
+    );
     // The last slots are kept for what other nodes send in the same moment.
     placement.fill(1, 3);
     assert_eq!(placement.choose(1_500.0, 500), Some(1), "one slot is free");
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,6 +2,7 @@
 //! real processes. See `docs/PROOFS.md` for what each of them proves.
 
 mod config_fold;
+mod document_rules;
 mod edge_rules;
 mod gate_rules;
 mod hostile_bytes;
--- a/wisteriaturnd/src/documents.rs
+++ b/wisteriaturnd/src/documents.rs
@@ -1,27 +1,40 @@
 //! Following a source of whole configurations.
 //!
-//! Every node waits at the source itself: a change is in force one round trip
-//! after it was written, and no role has to be handed over when a node goes.
-//! A node that the source turns away learns the version from its peers' probes
-//! and pulls it from one of them. Versions only rise, so it does not matter
-//! which way was faster, and a source that answers with an old document, or
-//! with the history cut off, moves nothing back.
+//! One member of each data centre waits at the source for a cell of others; a
+//! sign of life tells them that it had an answer just now, and which version is
+//! in force. They pull what changed from it. A node that misses the signs, since
+//! its reader is gone or is turned away, reads for itself at once, and a node
+//! that the source turns away learns versions from its peers' probes. Versions
+//! only rise, so it does not matter which way was faster, and a source that
+//! answers with an old document, or with the history cut off, moves nothing back.
 
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
 use wisteriaturn::clock::lock;
 use wisteriaturn::config::document::{ConfigDocument, DocumentBatch, DocumentPort};
-use wisteriaturn::config::fold::ConfigState;
 use wisteriaturn::error::LogError;
 use wisteriaturn::ids::{ConfigVersion, Offset};
+use wisteriaturn::member::source::{SIGN_TIME, SILENCE_TIME, cell_of, readers};
+use wisteriaturn::peer::message::Datagram;
 
+use crate::gossip;
+use crate::metrics::TrafficKind;
 use crate::node::NodeHandle;
+use crate::peer_client;
 
-/// How long the source holds a read open when there is no document. A read
-/// whose answer was lost goes unnoticed for as long, so it stays below the time
-/// in which a change must be in force after an outage.
-const POLL_TIME: Duration = Duration::from_secs(4);
+/// How long the source holds a read open when there is no document. Each answer
+/// proves that the source is there, and a reader's signs of life need that proof.
+const POLL_TIME: Duration = Duration::from_secs(1);
+
+/// Age of the last answer up to which a reader gives signs of life: a read and
+/// a slow answer.
+const PROOF_TIME: Duration = Duration::from_millis(1_300);
+
+/// How often a node that does not read looks whether it has to.
+const ROLE_CHECK: Duration = Duration::from_millis(200);
 
 /// Pauses after a failed read grow between these bounds, with jitter.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
@@ -46,7 +59,12 @@
         backoff: BACKOFF.0,
         is_lost: false,
     };
+    node.is_reading.store(true, Ordering::Release);
     loop {
+        if !reader.has_to_read(&node) {
+            tokio::time::sleep(ROLE_CHECK).await;
+            continue;
+        }
         let read = match reader.position {
             None => port.newest().await,
             Some(from) => port.follow(from, POLL_TIME).await,
@@ -55,7 +73,9 @@
             Ok(batch) => {
                 let is_news = batch.newest.is_some();
                 reader.take(&node, batch);
+                *lock(&node.source_answered) = Some(node.clock.now());
                 if is_news {
+                    give_sign(&node).await;
                     tokio::time::sleep(jittered(GATHER_TIME)).await;
                 }
             }
@@ -65,6 +85,18 @@
 }
 
 impl SourceReader {
+    /// Tells whether this node reads for others, or has nobody to read for it.
+    fn has_to_read(&mut self, node: &NodeHandle) -> bool {
+        let is_reading =
+            !node.was_ready.load(Ordering::Acquire) || is_reader(node) || !hears_reader(node);
+        if node.is_reading.swap(is_reading, Ordering::AcqRel) != is_reading {
+            log::info!(event = "source-reading", chosen = is_reading; "place");
+            // The own position is old after a time without reading.
+            self.position = None;
+        }
+        is_reading
+    }
+
     fn take(&mut self, node: &NodeHandle, batch: DocumentBatch) {
         if self.is_lost {
             log::info!(event = "source-regained", position:% = batch.next; "config");
@@ -109,9 +141,12 @@
         }
         return;
     }
-    match ConfigState::try_from(document) {
+    let mut store = lock(&node.store);
+    match document.after(store.state()) {
         Ok(state) => {
-            if lock(&node.store).adopt(state) {
+            let is_newer = store.adopt(state);
+            drop(store);
+            if is_newer {
                 node.publish_view();
                 log::info!(event = "document-adopted", version:% = version, before:% = held; "config");
             }
@@ -128,6 +163,52 @@
     }
 }
 
+fn is_reader(node: &NodeHandle) -> bool {
+    let table = lock(&node.table);
+    readers(&table, &node.settings.data_centre).contains(&node.address())
+}
+
+fn hears_reader(node: &NodeHandle) -> bool {
+    let now = node.clock.now();
+    let heard = *lock(&node.reader_heard);
+    heard.is_some_and(|heard| now.saturating_duration_since(heard) < SILENCE_TIME)
+}
+
+/// Gives signs of life to the members that this node reads for.
+pub async fn sign_task(node: NodeHandle) {
+    loop {
+        tokio::time::sleep(SIGN_TIME).await;
+        give_sign(&node).await;
+    }
+}
+
+async fn give_sign(node: &NodeHandle) {
+    let now = node.clock.now();
+    let is_proved = lock(&node.source_answered)
+        .is_some_and(|when| now.saturating_duration_since(when) < PROOF_TIME);
+    if !is_proved || !is_reader(node) {
+        return;
+    }
+    let cell = {
+        let table = lock(&node.table);
+        cell_of(&table, &node.settings.data_centre, node.address())
+    };
+    let version = lock(&node.store).version();
+    for member in cell {
+        let sign = Datagram::SourceAlive { version };
+        gossip::send(node, member, &sign, TrafficKind::Push).await;
+    }
+}
+
+/// Takes a sign of life of the member that reads for this node, and pulls what
+/// it has newer.
+pub fn note_sign(node: &NodeHandle, from: SocketAddr, version: ConfigVersion) {
+    *lock(&node.reader_heard) = Some(node.clock.now());
+    if version > lock(&node.store).version() {
+        peer_client::spawn_pull(node, from);
+    }
+}
+
 /// Waits until the source was read or some time has passed.
 pub async fn wait_source(node: &NodeHandle, wait: Duration) {
     let mut version = node.source_version.subscribe();
--- a/wisteriaturnd/src/gossip.rs
+++ b/wisteriaturnd/src/gossip.rs
@@ -17,6 +17,7 @@
     DATAGRAM_LIMIT, Datagram, NodeStatus, RUMOR_BUDGET, decode, encode,
 };
 
+use crate::documents;
 use crate::metrics::TrafficKind;
 use crate::news;
 use crate::node::{NodeHandle, NodeState};
@@ -162,6 +163,7 @@
         Datagram::Record { version, record } => {
             receive_record(node, from, version, record).await;
         }
+        Datagram::SourceAlive { version } => documents::note_sign(node, from, version),
         Datagram::News { rumors } => news::learn_all(node, from, rumors, true).await,
     }
 }
--- a/wisteriaturnd/src/lifecycle.rs
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -69,6 +69,7 @@
         tokio::spawn(targets::expire_task(node.clone()));
         if let Some(port) = node.documents.clone() {
             tokio::spawn(documents::follow_task(node.clone(), port));
+            tokio::spawn(documents::sign_task(node.clone()));
         }
         if let Some(port) = node.directory.clone() {
             tokio::spawn(directory::directory_task(node.clone(), port));
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -131,6 +131,12 @@
     /// Whether the node was ready once in its life: before that it knows no
     /// configuration that it could refuse a route by.
     pub was_ready: AtomicBool,
+    /// Whether this node reads the source of documents at the moment.
+    pub is_reading: AtomicBool,
+    /// When the source of documents last answered this node.
+    pub source_answered: Mutex<Option<Instant>>,
+    /// When the member that reads the source for this node last said so.
+    pub reader_heard: Mutex<Option<Instant>>,
     /// Version that this node heard of and does not hold, and since when.
     pub awaited: Mutex<Option<(ConfigVersion, Instant)>>,
     /// Whether a pull of the configuration is under way.
@@ -300,6 +306,9 @@
             stage: watch::Sender::new(NodeStage::Starting),
             members_changed: Notify::new(),
             was_ready: AtomicBool::new(false),
+            is_reading: AtomicBool::new(false),
+            source_answered: Mutex::default(),
+            reader_heard: Mutex::default(),
             awaited: Mutex::default(),
             is_pulling: AtomicBool::new(false),
             is_comparing: AtomicBool::new(false),
@@ -413,6 +422,11 @@
         self.metrics.note_sent(kind, self.reach(to), bytes);
     }
 
+    /// Tells whether this node reads the source of documents at the moment.
+    pub fn is_source_reader(&self) -> bool {
+        self.is_reading.load(Ordering::Acquire)
+    }
+
     /// Tells whether to pull a version that a peer holds. A node that follows a
     /// source of documents reads it there in a moment, so it leaves the peer's
     /// link alone until it is overdue.
--- a/wisteriaturnd/src/peer_client.rs
+++ b/wisteriaturnd/src/peer_client.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use wisteriaturn::clock::lock;
+use wisteriaturn::config::delta::DocumentDelta;
 use wisteriaturn::config::snapshot::decode_snapshot;
 use wisteriaturn::ids::{ConfigVersion, NodeAddress};
 use wisteriaturn::member::record::MemberRecord;
@@ -136,14 +137,24 @@
 pub async fn pull(node: &NodeHandle, peer: NodeAddress) -> Result<(), LinkError> {
     let mut link = PeerLink::open(node, peer).await?;
     node.note_sent(TrafficKind::Transfer, peer, CONNECTION_BYTES);
+    let mut is_whole_needed = false;
     loop {
-        let version = lock(&node.store).version();
+        // Nobody knows a difference from the empty configuration.
+        let version = if is_whole_needed {
+            ConfigVersion(0)
+        } else {
+            lock(&node.store).version()
+        };
         let answer = link
             .ask(node, &PeerRequest::Pull { version }, TrafficKind::Transfer)
             .await?;
         let has_more = match answer {
             PeerAnswer::Tail { first, records } => take_tail(node, first, records).await,
-            PeerAnswer::Snapshot(snapshot) => take_snapshot(node, &snapshot)?,
+            PeerAnswer::Snapshot(snapshot) => take_snapshot(node, &snapshot)? && !is_whole_needed,
+            PeerAnswer::Delta(delta) => {
+                is_whole_needed = !take_delta(node, &delta);
+                is_whole_needed
+            }
             _ => false,
         };
         if !has_more {
@@ -165,6 +176,31 @@
     has_folded
 }
 
+/// Takes a difference; returns whether what it leads to is held now.
+fn take_delta(node: &NodeHandle, delta: &DocumentDelta) -> bool {
+    let taken = lock(&node.store).adopt_delta(delta);
+    match taken {
+        Ok(is_newer) => {
+            if is_newer {
+                node.publish_view();
+                log::info!(
+                    event = "delta-adopted",
+                    version:% = delta.to,
+                    from:% = delta.from,
+                    puts = delta.puts.len(),
+                    removed = delta.removed.len();
+                    "config"
+                );
+            }
+            true
+        }
+        Err(rejection) => {
+            log::warn!(event = "delta-refused", version:% = delta.to, reason:% = rejection; "config");
+            false
+        }
+    }
+}
+
 fn take_snapshot(node: &NodeHandle, snapshot: &[u8]) -> Result<bool, LinkError> {
     let state = decode_snapshot(snapshot)?;
     let version = state.version();
--- a/wisteriaturnd/src/peer_server.rs
+++ b/wisteriaturnd/src/peer_server.rs
@@ -208,6 +208,9 @@
             records,
         };
     }
+    if let Some(delta) = store.delta_from(version) {
+        return PeerAnswer::Delta(delta);
+    }
     if transfers.try_acquire().is_err() {
         return PeerAnswer::Busy;
     }
--- a/wisteriaturnd/src/store.rs
+++ b/wisteriaturnd/src/store.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use wisteriaturn::config::delta::{DocumentDelta, DocumentHistory, apply_delta, delta_between};
 use wisteriaturn::config::fold::{ConfigState, FoldVerdict};
 use wisteriaturn::config::snapshot::encode_snapshot;
 use wisteriaturn::config::tail::RecordTail;
+use wisteriaturn::config::validate::Rejection;
 use wisteriaturn::config::view::ConfigView;
 use wisteriaturn::error::CodecError;
 use wisteriaturn::ids::ConfigVersion;
@@ -27,6 +29,7 @@
 pub struct ConfigStore {
     state: ConfigState,
     tail: RecordTail,
+    history: DocumentHistory,
     view: Arc<ConfigView>,
 }
 
@@ -73,7 +76,8 @@
             return false;
         }
         self.tail = RecordTail::starting_at(state.version());
-        self.state = state;
+        let before = std::mem::replace(&mut self.state, state);
+        self.history.push(before);
         self.rebuild(true);
         true
     }
@@ -83,6 +87,26 @@
         self.tail.after(version, limit)
     }
 
+    /// Takes the difference to a newer document.
+    ///
+    /// # Errors
+    ///
+    /// [`Rejection`] when it does not lead from what is held to what it says.
+    pub fn adopt_delta(&mut self, delta: &DocumentDelta) -> Result<bool, Rejection> {
+        if delta.to <= self.state.version() {
+            return Ok(false);
+        }
+        let state = apply_delta(&self.state, delta)?;
+        Ok(self.adopt(state))
+    }
+
+    /// Returns what leads from a version to the one held, while that version is
+    /// remembered.
+    pub fn delta_from(&self, version: ConfigVersion) -> Option<DocumentDelta> {
+        let before = self.history.get(version)?;
+        delta_between(before, &self.state).ok()
+    }
+
     /// Encodes the state as a snapshot.
     ///
     /// # Errors
