daemon: rooms for what belongs together; differences only between documents

Cause: 36 files lay in one folder.

Before: a_herd_restart_waits_for_the_log_and_forgets_nothing failed, node 1 never ready. After: 161 and 52 tests pass. Only documents are remembered, and a difference that is refused is followed by one request for the whole.

--- a/testing/src/experiment/scale.rs
+++ b/testing/src/experiment/scale.rs
@@ -17,8 +17,8 @@
 use wisteriaturn::member::rumor::Rumor;
 use wisteriaturn::peer::auth::MeshKeys;
 use wisteriaturn::peer::message::{Datagram, PeerAnswer, PeerRequest, decode, encode};
-use wisteriaturnd::handshake::{self, PortUse};
-use wisteriaturnd::peer_client::framing;
+use wisteriaturnd::mesh::handshake::{self, PortUse};
+use wisteriaturnd::mesh::peer_client::framing;
 
 use crate::cluster::{ClusterPlan, MESH_SECRET, PLACES, TestCluster};
 use crate::experiment::cost::{NodeCost, costs, print_costs};
--- a/tests/integration/edge_rules.rs
+++ b/tests/integration/edge_rules.rs
@@ -4,7 +4,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, Response};
 use wisteriaturnd::gate::standing::AnswerStanding;
-use wisteriaturnd::headers::EdgeNames;
+use wisteriaturnd::http::headers::EdgeNames;
 use wisteriaturnd::ingress::pipeline::HeadScanner;
 use wisteriaturnd::settings::duration_text;
 
--- a/tests/integration/inside_cut.rs
+++ b/tests/integration/inside_cut.rs
@@ -11,9 +11,9 @@
 use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
 use wisteriaturn_testing::forwarder::CutLink;
 use wisteriaturnd::lifecycle::RunningNode;
-use wisteriaturnd::log_memory::memory_log;
 use wisteriaturnd::node::{AddressMap, NodeBuilder};
 use wisteriaturnd::settings::NodeSettings;
+use wisteriaturnd::stream::memory::memory_log;
 
 /// Three nodes of which node 1 reaches the gate of node 0 only by `link`, and
 /// a target beside node 0.
--- a/tests/integration/inside_regions.rs
+++ b/tests/integration/inside_regions.rs
@@ -15,9 +15,9 @@
 use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
 use wisteriaturn_testing::metrics;
 use wisteriaturnd::lifecycle::RunningNode;
-use wisteriaturnd::log_memory::memory_log;
 use wisteriaturnd::node::{AddressMap, NodeBuilder};
 use wisteriaturnd::settings::NodeSettings;
+use wisteriaturnd::stream::memory::memory_log;
 
 /// Where a cut link leads: nobody listens there.
 const NOWHERE: &str = "127.0.0.1:9";
--- a/wisteriaturnd/src/admin/change.rs
+++ b/wisteriaturnd/src/admin/change.rs
@@ -17,8 +17,8 @@
 use wisteriaturn::error::LogError;
 use wisteriaturn::ids::{AuthorName, ChangeId, ConfigVersion, Revision};
 
+use crate::control::follow::{self, CONFIG_STREAM};
 use crate::error::ApplyError;
-use crate::follow::{self, CONFIG_STREAM};
 use crate::node::{NodeHandle, NodeState};
 
 /// Time for a change to get its verdict.
--- a/wisteriaturnd/src/admin/port.rs
+++ b/wisteriaturnd/src/admin/port.rs
@@ -25,9 +25,9 @@
 use crate::admin::change::{RawChange, RawExpectation, RawOperation, apply, report};
 use crate::admin::reply::{error_reply, json_reply, text_reply};
 use crate::admin::view;
-use crate::body::NodeBody;
+use crate::gate::targets::{self, AnnounceError, TargetAnnouncement};
+use crate::http::body::NodeBody;
 use crate::node::{NodeHandle, NodeStage};
-use crate::targets::{self, AnnounceError, TargetAnnouncement};
 
 /// Connections that are open at once.
 const CONNECTION_LIMIT: usize = 256;
--- a/wisteriaturnd/src/admin/reply.rs
+++ b/wisteriaturnd/src/admin/reply.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 use wisteriaturn::ids::Revision;
 
-use crate::body::{NodeBody, full};
+use crate::http::body::{NodeBody, full};
 
 /// Returns a JSON reply.
 pub fn json_reply<T>(status: StatusCode, value: &T) -> Response<NodeBody>
--- a/wisteriaturnd/src/admin/view.rs
+++ b/wisteriaturnd/src/admin/view.rs
@@ -20,11 +20,11 @@
 
 use crate::admin::change::report;
 use crate::admin::reply::{error_reply, json_reply, tagged_reply};
-use crate::body::{BodyError, NodeBody, boxed};
+use crate::http::body::{BodyError, NodeBody, boxed};
+use crate::mesh::peer_client;
+use crate::mesh::peer_server::holders;
 use crate::metrics::TrafficKind;
 use crate::node::{NodeHandle, NodeState};
-use crate::peer_client;
-use crate::peer_server::holders;
 
 /// Time for another data centre to say who holds a version.
 const HOLDERS_TIME: Duration = Duration::from_secs(2);
--- a/wisteriaturnd/src/claims.rs
+++ b/wisteriaturnd/src/claims/desk.rs
@@ -17,9 +17,9 @@
 use wisteriaturn::member::relay::keeper;
 use wisteriaturn::peer::message::{PeerAnswer, PeerRequest};
 
+use crate::mesh::peer_client::PeerLink;
 use crate::metrics::TrafficKind;
 use crate::node::NodeHandle;
-use crate::peer_client::PeerLink;
 
 /// Items that may wait for one stream.
 const QUEUE_LIMIT: usize = 8192;
--- /dev/null
+++ b/wisteriaturnd/src/claims/mod.rs
@@ -0,0 +1,6 @@
+//! Claims of idempotency keys in the log.
+//!
+//! See [docs/decisions/0001](../../../docs/decisions/0001-keepers-by-the-log.md).
+
+pub mod desk;
+pub mod keeper;
--- a/wisteriaturnd/src/documents.rs
+++ b/wisteriaturnd/src/control/documents.rs
@@ -20,10 +20,10 @@
 use wisteriaturn::member::source::{SIGN_TIME, SILENCE_TIME, cell_of, readers};
 use wisteriaturn::peer::message::Datagram;
 
-use crate::gossip;
+use crate::mesh::gossip;
+use crate::mesh::peer_client;
 use crate::metrics::TrafficKind;
 use crate::node::NodeHandle;
-use crate::peer_client;
 
 /// How long the source holds a read open when there is no document. Each answer
 /// proves that the source is there, and a reader's signs of life need that proof.
@@ -144,7 +144,7 @@
     let mut store = lock(&node.store);
     match document.after(store.state()) {
         Ok(state) => {
-            let is_newer = store.adopt(state);
+            let is_newer = store.adopt_document(state);
             drop(store);
             if is_newer {
                 node.publish_view();
--- a/wisteriaturnd/src/follow.rs
+++ b/wisteriaturnd/src/control/follow.rs
@@ -10,9 +10,9 @@
 use wisteriaturn::log_port::ReadRequest;
 use wisteriaturn::member::relay::snapshot_writer;
 
-use crate::gossip;
+use crate::control::store::StoreStep;
+use crate::mesh::gossip;
 use crate::node::{NodeHandle, NodeState};
-use crate::store::StoreStep;
 
 /// Name of the stream of configuration changes.
 pub const CONFIG_STREAM: &str = "config";
--- a/wisteriaturnd/src/start.rs
+++ b/wisteriaturnd/src/control/start.rs
@@ -15,13 +15,13 @@
 use wisteriaturn::ids::{ConfigVersion, Incarnation, NodeAddress};
 use wisteriaturn::peer::message::{PeerAnswer, PeerRequest};
 
-use crate::directory;
-use crate::documents;
-use crate::follow;
+use crate::control::documents;
+use crate::control::follow;
+use crate::mesh::directory;
+use crate::mesh::news;
+use crate::mesh::peer_client;
 use crate::metrics::TrafficKind;
-use crate::news;
 use crate::node::{NodeHandle, NodeStage};
-use crate::peer_client;
 
 /// Ready peers that together are as good as the log.
 const PEERS_NEEDED: usize = 2;
--- a/wisteriaturnd/src/store.rs
+++ b/wisteriaturnd/src/control/store.rs
@@ -76,8 +76,7 @@
             return false;
         }
         self.tail = RecordTail::starting_at(state.version());
-        let before = std::mem::replace(&mut self.state, state);
-        self.history.push(before);
+        self.state = state;
         self.rebuild(true);
         true
     }
@@ -87,6 +86,20 @@
         self.tail.after(version, limit)
     }
 
+    /// Takes a document if it is newer than what is held, and remembers the one
+    /// before, so that others can be told the difference. States that were
+    /// folded from changes have other hashes and are not remembered.
+    pub fn adopt_document(&mut self, state: ConfigState) -> bool {
+        let before = self.state.clone();
+        if !self.adopt(state) {
+            return false;
+        }
+        if before.version() > ConfigVersion(0) {
+            self.history.push(before);
+        }
+        true
+    }
+
     /// Takes the difference to a newer document.
     ///
     /// # Errors
@@ -97,7 +110,7 @@
             return Ok(false);
         }
         let state = apply_delta(&self.state, delta)?;
-        Ok(self.adopt(state))
+        Ok(self.adopt_document(state))
     }
 
     /// Returns what leads from a version to the one held, while that version is
--- a/wisteriaturnd/src/gate/answer.rs
+++ b/wisteriaturnd/src/gate/answer.rs
@@ -9,8 +9,8 @@
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::peer::message::InquiryAnswer;
 
-use crate::body::{NodeBody, full};
-use crate::headers;
+use crate::http::body::{NodeBody, full};
+use crate::http::headers;
 use crate::node::NodeState;
 
 /// Seconds after which a refused caller may come again.
--- a/wisteriaturnd/src/gate/crash.rs
+++ b/wisteriaturnd/src/gate/crash.rs
@@ -9,11 +9,11 @@
 use wisteriaturn::clock::lock;
 use wisteriaturn::member::rumor::Rumor;
 
-use crate::body::BodyEnd;
-use crate::hop::GateCall;
-use crate::news;
+use crate::gate::targets;
+use crate::http::body::BodyEnd;
+use crate::mesh::hop::GateCall;
+use crate::mesh::news;
 use crate::node::NodeHandle;
-use crate::targets;
 
 /// Time to see whether a target's process is gone after an exchange was lost.
 const CRASH_CHECK_TIME: Duration = Duration::from_millis(200);
--- a/wisteriaturnd/src/gate/mod.rs
+++ b/wisteriaturnd/src/gate/mod.rs
@@ -6,3 +6,4 @@
 pub mod port;
 pub mod run;
 pub mod standing;
+pub mod targets;
--- a/wisteriaturnd/src/gate/port.rs
+++ b/wisteriaturnd/src/gate/port.rs
@@ -14,13 +14,13 @@
 use wisteriaturn::peer::message::{InquiryAnswer, encode};
 use wisteriaturn::retry::deadline::CallDeadline;
 
-use crate::body::{NodeBody, boxed, full};
 use crate::gate::answer::refusal;
 use crate::gate::run;
-use crate::handshake::{self, PortUse};
-use crate::headers;
-use crate::hop::{ASK_REVOKE, GateCall};
-use crate::listener::{PortLimits, accept_until_stopped, serve_http};
+use crate::http::body::{NodeBody, boxed, full};
+use crate::http::headers;
+use crate::http::listener::{PortLimits, accept_until_stopped, serve_http};
+use crate::mesh::handshake::{self, PortUse};
+use crate::mesh::hop::{ASK_REVOKE, GateCall};
 use crate::node::NodeHandle;
 
 /// Bounds of the port. A request has a caller's head with the mesh's own
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -24,18 +24,18 @@
 use wisteriaturn::ids::KeyHash;
 use wisteriaturn::peer::message::InquiryAnswer;
 
-use crate::body::{BodyEnd, GuardedBody, NodeBody, RequestBody, boxed};
 use crate::error::LinkError;
-use crate::exchange::{self, ExchangeError, pooled_body};
 use crate::gate::answer::{inquiry_response, kept_response, refusal};
 use crate::gate::crash::{check_crash, note_end};
 use crate::gate::port;
 use crate::gate::standing::AnswerStanding;
-use crate::headers;
-use crate::hop::{self, ASK_INQUIRE, GateCall};
+use crate::gate::targets::{self, LocalTarget};
+use crate::http::body::{BodyEnd, GuardedBody, NodeBody, RequestBody, boxed};
+use crate::http::exchange::{self, ExchangeError, pooled_body};
+use crate::http::headers;
+use crate::http::pool::PooledLink;
+use crate::mesh::hop::{self, ASK_INQUIRE, GateCall};
 use crate::node::{NodeHandle, NodeStage};
-use crate::pool::PooledLink;
-use crate::targets::{self, LocalTarget};
 
 /// Bytes of a target's refusal that are read to keep its connection.
 const REFUSAL_LIMIT: usize = 64 * 1024;
@@ -258,7 +258,7 @@
 
     /// Streams an answer that is too large to keep; a lost link loses it.
     fn stream(self, head: &KeptAnswer, mut large: RequestBody) -> Response<NodeBody> {
-        let rest = large.for_attempt().unwrap_or_else(crate::body::empty);
+        let rest = large.for_attempt().unwrap_or_else(crate::http::body::empty);
         let body = GuardedBody::new(rest, move |end| {
             drop(self.permit);
             self.ticket.end(CallEnd::TooLarge);
--- a/wisteriaturnd/src/gate/standing.rs
+++ b/wisteriaturnd/src/gate/standing.rs
@@ -7,7 +7,7 @@
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
 use hyper::{Response, StatusCode};
 
-use crate::headers::EdgeNames;
+use crate::http::headers::EdgeNames;
 
 /// Where an answer stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/wisteriaturnd/src/targets.rs
+++ b/wisteriaturnd/src/gate/targets.rs
@@ -16,7 +16,7 @@
 use wisteriaturn::ids::{Incarnation, InstanceId, Sequence, ServiceName, SlotCount};
 use wisteriaturn::member::record::{TARGET_LIMIT, TargetRecord, TargetState};
 
-use crate::news;
+use crate::mesh::news;
 use crate::node::{NodeHandle, NodeStage, NodeState};
 
 /// What a target says when it announces itself.
--- a/wisteriaturnd/src/exchange.rs
+++ b/wisteriaturnd/src/http/exchange.rs
@@ -5,9 +5,9 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
-use crate::body::{BodyEnd, GuardedBody, NodeBody, boxed, stalling};
 use crate::error::LinkError;
-use crate::pool::{LinkPool, PooledLink};
+use crate::http::body::{BodyEnd, GuardedBody, NodeBody, boxed, stalling};
+use crate::http::pool::{LinkPool, PooledLink};
 
 /// How an exchange failed.
 #[derive(Debug)]
--- a/wisteriaturnd/src/listener.rs
+++ b/wisteriaturnd/src/http/listener.rs
@@ -25,7 +25,7 @@
 use tokio_util::task::TaskTracker;
 use wisteriaturn::config::resource::LimitsSpec;
 
-use crate::body::NodeBody;
+use crate::http::body::NodeBody;
 use crate::node::{NodeHandle, NodeStage};
 
 /// Time for the head of a request, against callers that send it byte by byte.
--- /dev/null
+++ b/wisteriaturnd/src/http/mod.rs
@@ -0,0 +1,8 @@
+//! Connections, bodies and headers, on both sides of a node.
+
+pub mod body;
+pub mod exchange;
+pub mod headers;
+pub mod listener;
+pub mod pool;
+pub mod silence;
--- a/wisteriaturnd/src/pool.rs
+++ b/wisteriaturnd/src/http/pool.rs
@@ -21,11 +21,11 @@
 use wisteriaturn::ids::LifeId;
 use wisteriaturn::peer::auth::MeshKeys;
 
-use crate::body::NodeBody;
 use crate::error::LinkError;
-use crate::handshake::{self, PortUse};
-use crate::headers;
-use crate::net;
+use crate::http::body::NodeBody;
+use crate::http::headers;
+use crate::http::silence;
+use crate::mesh::handshake::{self, PortUse};
 use crate::node::AddressMap;
 
 /// Time for a connection to open. A node in another region is 8 ms away; what
@@ -159,9 +159,9 @@
             .await
             .map_err(unreachable)?;
         stream.set_nodelay(true).map_err(unreachable)?;
-        net::limit_silence(&stream).map_err(unreachable)?;
+        silence::limit_silence(&stream).map_err(unreachable)?;
         if self.is_probed {
-            net::probe_idle(&stream).map_err(unreachable)?;
+            silence::probe_idle(&stream).map_err(unreachable)?;
         }
         let life = match &self.keys {
             Some(keys) => handshake::connect(&mut stream, keys, PortUse::Hop).await?,
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -26,13 +26,13 @@
 use wisteriaturn::route::load::AttemptResult;
 use wisteriaturn::route::place::{CallDemand, PlacedCall, place_call};
 
-use crate::body::{GuardedBody, NodeBody, RequestBody, boxed, empty};
 use crate::gate::answer::{inquiry_response, refusal};
 use crate::gate::run;
-use crate::gossip;
-use crate::headers;
-use crate::hop::{self, GateCall, HopResult};
+use crate::http::body::{GuardedBody, NodeBody, RequestBody, boxed, empty};
+use crate::http::headers;
 use crate::logs::Clean;
+use crate::mesh::gossip;
+use crate::mesh::hop::{self, GateCall, HopResult};
 use crate::node::NodeHandle;
 
 /// Most attempts of one call, those included that a gate refused.
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -19,8 +19,8 @@
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::route::limit::RoutePermit;
 
-use crate::body::{BodyEnd, CountedBody, GuardedBody, NodeBody, RequestBody, boxed};
-use crate::headers;
+use crate::http::body::{BodyEnd, CountedBody, GuardedBody, NodeBody, RequestBody, boxed};
+use crate::http::headers;
 use crate::ingress::attempt::{self, RoutedCall};
 use crate::logs::Clean;
 use crate::metrics::CallLabels;
--- a/wisteriaturnd/src/ingress/pipeline.rs
+++ b/wisteriaturnd/src/ingress/pipeline.rs
@@ -24,8 +24,8 @@
 use wisteriaturn::clock::lock;
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 
-use crate::body::{NodeBody, boxed, empty};
 use crate::gate::answer::refusal;
+use crate::http::body::{NodeBody, boxed, empty};
 use crate::ingress::call;
 use crate::node::NodeHandle;
 
--- a/wisteriaturnd/src/ingress/port.rs
+++ b/wisteriaturnd/src/ingress/port.rs
@@ -3,9 +3,9 @@
 use tokio::net::TcpListener;
 use tokio_util::task::TaskTracker;
 
+use crate::http::listener::{PortLimits, accept_until_stopped, serve_http};
 use crate::ingress::call;
 use crate::ingress::pipeline::{CallPipeline, PeekStream};
-use crate::listener::{PortLimits, accept_until_stopped, serve_http};
 use crate::node::NodeHandle;
 
 /// Most headers of a request.
--- a/wisteriaturnd/src/lifecycle.rs
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -11,18 +11,18 @@
 use wisteriaturn::member::record::MemberState;
 
 use crate::admin;
-use crate::directory;
-use crate::documents;
-use crate::follow;
+use crate::control::documents;
+use crate::control::follow;
+use crate::control::start;
 use crate::gate;
-use crate::gossip;
+use crate::gate::targets;
 use crate::ingress;
-use crate::news;
+use crate::mesh::directory;
+use crate::mesh::gossip;
+use crate::mesh::news;
+use crate::mesh::peer_server;
+use crate::mesh::prober;
 use crate::node::{NodeBuilder, NodeHandle, NodeStage};
-use crate::peer_server;
-use crate::prober;
-use crate::start;
-use crate::targets;
 
 /// How often a stopping node looks whether its gates are empty.
 const EMPTY_CHECK: Duration = Duration::from_millis(10);
--- a/wisteriaturnd/src/main.rs
+++ b/wisteriaturnd/src/main.rs
@@ -9,9 +9,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use wisteriaturn::clock::SystemClock;
 use wisteriaturnd::lifecycle::RunningNode;
-use wisteriaturnd::log_http::http_log;
 use wisteriaturnd::node::NodeBuilder;
 use wisteriaturnd::settings::NodeSettings;
+use wisteriaturnd::stream::http::http_log;
 use wisteriaturnd::{logs, trial};
 
 /// Exit code for settings or arguments that are not allowed.
--- a/wisteriaturnd/src/directory.rs
+++ b/wisteriaturnd/src/mesh/directory.rs
@@ -14,8 +14,8 @@
 use wisteriaturn::member::record::MemberRecord;
 use wisteriaturn::member::relay::snapshot_writer;
 
+use crate::mesh::peer_client::merge_records;
 use crate::node::NodeHandle;
-use crate::peer_client::merge_records;
 
 /// Pauses after a failed write or read grow between these bounds, with jitter.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
--- a/wisteriaturnd/src/gossip.rs
+++ b/wisteriaturnd/src/mesh/gossip.rs
@@ -1,5 +1,5 @@
 //! Datagrams: sending and receiving them, and what probes and pushed records
-//! lead to. News is in [`crate::news`].
+//! lead to. News is in [`crate::mesh::news`].
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,12 +17,12 @@
     DATAGRAM_LIMIT, Datagram, NodeStatus, RUMOR_BUDGET, decode, encode,
 };
 
-use crate::documents;
+use crate::control::documents;
+use crate::control::store::StoreStep;
+use crate::mesh::news;
+use crate::mesh::peer_client;
 use crate::metrics::TrafficKind;
-use crate::news;
 use crate::node::{NodeHandle, NodeState};
-use crate::peer_client;
-use crate::store::StoreStep;
 
 /// Bytes of IP and UDP headers, counted so that control bytes are what the
 /// network carries.
--- a/wisteriaturnd/src/hop.rs
+++ b/wisteriaturnd/src/mesh/hop.rs
@@ -23,15 +23,15 @@
 use wisteriaturn::peer::message::{InquiryAnswer, PeerAnswer, PeerRequest, decode};
 use wisteriaturn::retry::deadline::CallDeadline;
 
-use crate::body::{NodeBody, empty};
 use crate::error::LinkError;
-use crate::exchange::{self, ExchangeError, pooled_body};
-use crate::headers;
+use crate::http::body::{NodeBody, empty};
+use crate::http::exchange::{self, ExchangeError, pooled_body};
+use crate::http::headers;
+use crate::http::pool::PooledLink;
 use crate::logs::Clean;
+use crate::mesh::peer_client;
 use crate::metrics::TrafficKind;
 use crate::node::{NodeHandle, NodeState};
-use crate::peer_client;
-use crate::pool::PooledLink;
 
 /// Nodes through which a gate is asked when it cannot be reached.
 const GO_BETWEENS: usize = 2;
--- a/wisteriaturnd/src/news.rs
+++ b/wisteriaturnd/src/mesh/news.rs
@@ -15,7 +15,7 @@
 use wisteriaturn::member::table::MergeOutcome;
 use wisteriaturn::peer::message::Datagram;
 
-use crate::gossip::{send, some_peers};
+use crate::mesh::gossip::{send, some_peers};
 use crate::metrics::TrafficKind;
 use crate::node::{NodeHandle, NodeState};
 
--- a/wisteriaturnd/src/peer_client.rs
+++ b/wisteriaturnd/src/mesh/peer_client.rs
@@ -15,13 +15,13 @@
 use wisteriaturn::member::record::MemberRecord;
 use wisteriaturn::peer::message::{FRAME_LIMIT, PeerAnswer, PeerRequest, decode, encode};
 
+use crate::control::store::StoreStep;
 use crate::error::LinkError;
-use crate::gossip;
-use crate::handshake::{self, PortUse};
+use crate::http::pool::CONNECT_TIME;
+use crate::mesh::gossip;
+use crate::mesh::handshake::{self, PortUse};
 use crate::metrics::TrafficKind;
 use crate::node::{NodeHandle, NodeState};
-use crate::pool::CONNECT_TIME;
-use crate::store::StoreStep;
 
 /// Time for the answer to a request.
 pub const REQUEST_TIME: Duration = Duration::from_secs(5);
@@ -151,6 +151,7 @@
         let has_more = match answer {
             PeerAnswer::Tail { first, records } => take_tail(node, first, records).await,
             PeerAnswer::Snapshot(snapshot) => take_snapshot(node, &snapshot)? && !is_whole_needed,
+            PeerAnswer::Delta(_) if is_whole_needed => false,
             PeerAnswer::Delta(delta) => {
                 is_whole_needed = !take_delta(node, &delta);
                 is_whole_needed
--- a/wisteriaturnd/src/peer_server.rs
+++ b/wisteriaturnd/src/mesh/peer_server.rs
@@ -18,13 +18,13 @@
 };
 
 use crate::error::LinkError;
-use crate::gossip;
-use crate::handshake::{self, PortUse};
-use crate::hop;
+use crate::mesh::gossip;
+use crate::mesh::handshake::{self, PortUse};
+use crate::mesh::hop;
+use crate::mesh::news;
+use crate::mesh::peer_client::{framing, merge_records, records_in};
 use crate::metrics::TrafficKind;
-use crate::news;
 use crate::node::{NodeHandle, NodeStage};
-use crate::peer_client::{framing, merge_records, records_in};
 
 /// Connections that are open at once.
 const CONNECTION_LIMIT: usize = 512;
--- a/wisteriaturnd/src/prober.rs
+++ b/wisteriaturnd/src/mesh/prober.rs
@@ -10,10 +10,10 @@
 use wisteriaturn::member::record::MemberState;
 use wisteriaturn::member::rumor::Rumor;
 
-use crate::gossip;
-use crate::news;
+use crate::mesh::gossip;
+use crate::mesh::news;
+use crate::mesh::peer_client;
 use crate::node::NodeHandle;
-use crate::peer_client;
 
 /// Members asked to probe one that did not answer.
 const HELPERS: usize = 3;
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -35,14 +35,14 @@
 use wisteriaturn::route::load::LoadBook;
 use wisteriaturn::route::size::SizeBook;
 
-use crate::claims::ClaimDesk;
-use crate::headers::EdgeNames;
-use crate::keeper::ClaimKeeper;
+use crate::claims::desk::ClaimDesk;
+use crate::claims::keeper::ClaimKeeper;
+use crate::control::store::ConfigStore;
+use crate::gate::targets::LocalTargets;
+use crate::http::headers::EdgeNames;
+use crate::http::pool::LinkPool;
 use crate::metrics::{NodeMetrics, TrafficKind, TrafficReach};
-use crate::pool::LinkPool;
 use crate::settings::NodeSettings;
-use crate::store::ConfigStore;
-use crate::targets::LocalTargets;
 
 /// Time after which a version that peers hold is overdue at the source: a pause
 /// between two reads and a read.
--- a/wisteriaturnd/src/log_client.rs
+++ b/wisteriaturnd/src/stream/client.rs
@@ -13,9 +13,9 @@
 use wisteriaturn::clock::SharedClock;
 use wisteriaturn::error::LogError;
 
-use crate::body::full;
-use crate::exchange::{self, ExchangeError};
-use crate::pool::LinkPool;
+use crate::http::body::full;
+use crate::http::exchange::{self, ExchangeError};
+use crate::http::pool::LinkPool;
 
 /// Largest answer in bytes.
 const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
--- a/wisteriaturnd/src/log_http.rs
+++ b/wisteriaturnd/src/stream/http.rs
@@ -17,7 +17,7 @@
 use wisteriaturn::ids::Offset;
 use wisteriaturn::log_port::{LogBatch, LogPort, LogRecord, ReadRequest};
 
-use crate::log_client::LogClient;
+use crate::stream::client::LogClient;
 
 /// Time for the log to answer beyond what a read may wait.
 const ANSWER_TIME: Duration = Duration::from_secs(3);
--- a/wisteriaturnd/src/trial.rs
+++ b/wisteriaturnd/src/trial.rs
@@ -17,14 +17,14 @@
 use tokio::net::TcpListener;
 use wisteriaturn::clock::SystemClock;
 
-use crate::body::{NodeBody, full};
-use crate::exchange::{self, ExchangeError};
+use crate::control::start;
+use crate::http::body::{NodeBody, full};
+use crate::http::exchange::{self, ExchangeError};
+use crate::http::pool::LinkPool;
 use crate::lifecycle::RunningNode;
-use crate::log_memory::memory_log;
 use crate::node::NodeBuilder;
-use crate::pool::LinkPool;
 use crate::settings::NodeSettings;
-use crate::start;
+use crate::stream::memory::memory_log;
 
 /// Settings of the trial node.
 pub const TRIAL_SETTINGS: &str = r#"
