--- a/tests/integration/process_path.rs
+++ b/tests/integration/process_path.rs
@@ -51,3 +51,61 @@
     cluster.remove_folder();
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_logs_lead_from_a_request_to_what_became_of_it() -> Result<()> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes: 2,
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster.add_service("portal", json!({})).await?;
+    cluster.start_target(0, "portal", 6)?;
+    cluster.wait_targets(1, "portal", 1).await?;
+    let call = async |id: &str, path: &str| {
+        let headers = [("wisteriaturn-request-id", id)];
+        client::send(cluster.ingress(1), "GET", path, &headers, b"").await
+    };
+    assert_eq!(call("served-1", "/portal").await?.status, 200);
+    assert_eq!(call("lost-1", "/nowhere").await?.status, 404);
+    // Each of the three kinds of end is found from the request's name alone.
+    let cases = [
+        (
+            "served-1",
+            vec![
+                "event=route",
+                "event=admission",
+                "event=call",
+                "outcome=done",
+            ],
+        ),
+        (
+            "lost-1",
+            vec!["event=call", "reason=no-route", "status=404"],
+        ),
+    ];
+    for (request, expected) in cases {
+        let why = || {
+            Command::new(program("wisteriaturn")?)
+                .args(["why", request])
+                .args([cluster.output(0), cluster.output(1)])
+                .output()
+                .map_err(eyre::Report::from)
+        };
+        cluster
+            .wait("the lines to be written", async || {
+                why().is_ok_and(|said| {
+                    let text = String::from_utf8_lossy(&said.stdout).into_owned();
+                    expected.iter().all(|word| text.contains(word))
+                })
+            })
+            .await?;
+    }
+    let unknown = Command::new(program("wisteriaturn")?)
+        .args(["why", "nobody"])
+        .arg(cluster.output(0))
+        .output()?;
+    assert_eq!(unknown.status.code(), Some(1));
+    cluster.remove_folder();
+    Ok(())
+}
--- a/wisteriaturn-cli/src/commands.rs
+++ b/wisteriaturn-cli/src/commands.rs
@@ -1,6 +1,6 @@
 //! What each command does.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
@@ -12,6 +12,7 @@
 use crate::options::{ApplyOptions, ExplainOptions, OutputFormat, ToolCommand, ToolOptions};
 use crate::print::print_reply;
 use crate::source::read_change;
+use crate::why::why;
 
 /// Pause between two looks at who holds a version.
 const WAIT_STEP: Duration = Duration::from_millis(100);
@@ -44,6 +45,15 @@
             let id = options.id.ok_or_else(|| missing("id of the change"))?;
             show(api, format, &format!("/v1/changes/{id}")).await
         }
+        ToolCommand::Why(options) => {
+            let (request, files) = options
+                .words
+                .split_first()
+                .filter(|(_, files)| !files.is_empty())
+                .ok_or_else(|| missing("request's name and a log file"))?;
+            let files: Vec<PathBuf> = files.iter().map(PathBuf::from).collect();
+            why(request, &files)
+        }
         ToolCommand::Check(options) => check(api, format, options.file.as_deref()).await,
     }
 }
--- a/wisteriaturn-cli/src/main.rs
+++ b/wisteriaturn-cli/src/main.rs
@@ -7,6 +7,7 @@
 mod options;
 mod print;
 mod source;
+mod why;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/wisteriaturn-cli/src/options.rs
+++ b/wisteriaturn-cli/src/options.rs
@@ -74,6 +74,8 @@
     Convergence(ConvergenceOptions),
     #[options(help = "ask what became of a change")]
     Change(ChangeOptions),
+    #[options(help = "show what log files say about one request, in order")]
+    Why(WhyOptions),
     #[options(help = "check a file of resources against the node's view without writing")]
     Check(CheckOptions),
 }
@@ -161,3 +163,11 @@
     #[options(free, help = "file, or - for standard input")]
     pub(crate) file: Option<PathBuf>,
 }
+
+#[derive(Debug, Options)]
+pub(crate) struct WhyOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "the caller's name for the request, then log files")]
+    pub(crate) words: Vec<String>,
+}
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -282,8 +282,36 @@
         .collect()
 }
 
-/// Checks all that can refuse a call, waits for a slot and for a connection.
+/// Admits a call or refuses it, and says so with what decided.
 async fn admit(node: &NodeHandle, call: &GateCall) -> Result<AdmittedRun, RefusalReason> {
+    let came = node.clock.now();
+    let admitted = admit_now(node, call).await;
+    let waited = node.clock.now().saturating_duration_since(came);
+    let reason = admitted
+        .as_ref()
+        .err()
+        .map_or("none", |reason| reason.name());
+    let load = node
+        .targets
+        .get(&call.service)
+        .map(|target| target.gate.load());
+    log::info!(
+        event = "admission",
+        request:% = call.request_text(),
+        service:% = call.service,
+        reason = reason,
+        waited_us = waited.as_micros() as u64,
+        busy = load.map_or(0, |load| load.busy),
+        waiting = load.map_or(0, |load| load.waiting),
+        aim_ms = call.aim.remaining(came).as_millis() as u64,
+        deadline_ms = call.deadline.remaining(came).as_millis() as u64;
+        "gate"
+    );
+    admitted
+}
+
+/// Checks all that can refuse a call, waits for a slot and for a connection.
+async fn admit_now(node: &NodeHandle, call: &GateCall) -> Result<AdmittedRun, RefusalReason> {
     match node.current_stage() {
         NodeStage::Starting => return Err(RefusalReason::NotReady),
         NodeStage::Draining | NodeStage::Stopping => return Err(RefusalReason::Draining),
--- a/wisteriaturnd/src/http/pool.rs
+++ b/wisteriaturnd/src/http/pool.rs
@@ -30,7 +30,7 @@
 
 /// Time for a connection to open. A node in another region is 8 ms away; what
 /// takes longer than this is overloaded or cut off.
-pub const CONNECT_TIME: Duration = Duration::from_millis(500);
+pub const CONNECT_TIME: Duration = Duration::from_millis(250);
 
 /// How long an idle connection is kept.
 pub const IDLE_TIME: Duration = Duration::from_secs(30);
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -331,7 +331,14 @@
     guard.is_answered = true;
     let end = hold_answer(&gate_call, read_end(response)).await;
     note_end(node, call, target, &end, started);
-    log::debug!(
+    let is_news = end.outcome != CallOutcome::Done || number > 1;
+    let level = if is_news {
+        log::Level::Info
+    } else {
+        log::Level::Debug
+    };
+    log::log!(
+        level,
         event = "attempt",
         request:% = gate_call.request_text(),
         call:% = gate_call.call,
