ingress: give an attempt up only when it can be tried elsewhere

Cause: on a VM with a tenth of a core an answer to a probe may take longer than 150 ms.

Changes: 0.4 s for an answer, three misses, and only with a retry in the budget and while the node is not stopping.

Ruled out: leaving the check out (a frozen node then holds its calls to their deadline).

--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -128,8 +128,23 @@
         state.tokens = (state.tokens + share).min(state.rate.most.max(state.tokens));
     }
 
+    /// Tells whether there is a retry in the budget, without taking it.
+    pub fn has_retry(&self) -> bool {
+        self.renewed().tokens >= 1.0
+    }
+
     /// Takes a retry from the budget; returns whether there was one.
     pub fn try_take(&self) -> bool {
+        let mut state = self.renewed();
+        if state.tokens < 1.0 {
+            return false;
+        }
+        state.tokens -= 1.0;
+        true
+    }
+
+    /// Returns the state with what was earned until now.
+    fn renewed(&self) -> std::sync::MutexGuard<'_, BudgetState> {
         let now = self.clock.now();
         let mut state = lock(&self.state);
         let elapsed = now.duration_since(state.updated).as_secs_f64();
@@ -139,10 +154,6 @@
             let earned = elapsed * rate.floor_per_second;
             state.tokens = (state.tokens + earned).min(rate.floor);
         }
-        if state.tokens < 1.0 {
-            return false;
-        }
-        state.tokens -= 1.0;
-        true
+        state
     }
 }
--- a/tests/integration/load_rules.rs
+++ b/tests/integration/load_rules.rs
@@ -317,3 +317,24 @@
         assert_eq!(placement.choose(1_500.0, 500), Some(3), "the idle one");
     }
 }
+
+#[test]
+fn looking_at_the_budget_takes_nothing_from_it() {
+    let limit = RetryLimit {
+        ratio: 0.2,
+        slack: 10.0,
+        window: Duration::from_secs(10),
+    };
+    let clock = ManualClock::new();
+    let budget = RetryBudget::shared(Arc::clone(&clock) as SharedClock, limit, 2);
+    let mut taken = 0;
+    while budget.has_retry() {
+        assert!(budget.has_retry());
+        assert!(budget.try_take());
+        taken += 1;
+    }
+    assert!(taken >= 2);
+    assert!(!budget.try_take());
+    clock.advance(Duration::from_secs(60));
+    assert!(budget.has_retry(), "earned again");
+}
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -19,7 +19,7 @@
 use wisteriaturn::config::view::{RouteEntry, ServiceEntry, ServingView, TargetEntry};
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::quarantine::RequestStanding;
-use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, NodeAddress};
+use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, NodeAddress, ServiceName};
 use wisteriaturn::retry::budget::RetryBudget;
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::route::choose::{TargetChoice, choose_target};
@@ -33,7 +33,7 @@
 use crate::logs::Clean;
 use crate::mesh::gossip;
 use crate::mesh::hop::{self, GateCall, HopResult};
-use crate::node::NodeHandle;
+use crate::node::{NodeHandle, NodeStage};
 
 /// Most attempts of one call, those included that a gate refused.
 const ATTEMPT_LIMIT: usize = 4;
@@ -53,12 +53,13 @@
 /// Pause between two such questions.
 const DOUBT_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time for the answer: well above the round trip between regions.
-const DOUBT_WAIT: Duration = Duration::from_millis(150);
+/// Time for the answer: a VM with a small share of a core stands still for up
+/// to a tenth of a second, and a thin link holds packets back.
+const DOUBT_WAIT: Duration = Duration::from_millis(400);
 
-/// Questions in a row without an answer after which an attempt is given up; a
-/// single datagram may be lost.
-const DOUBT_LIMIT: u32 = 2;
+/// Questions in a row without an answer after which an attempt is given up:
+/// giving up wrongly costs a run that may be nearly done.
+const DOUBT_LIMIT: u32 = 3;
 
 /// Time that a target is passed over after its gate could not be reached.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
@@ -388,7 +389,7 @@
     let result = if call.is_idempotent {
         tokio::select! {
             result = sending => result,
-            () = wait_silence(node, target) => {
+            () = wait_silence(node, target, &call.service) => {
                 return refusal(CallOutcome::Unknown, RefusalReason::GateLost);
             }
         }
@@ -412,16 +413,24 @@
 /// Waits until the node of a target no longer answers probes. A frozen node
 /// and a cut link leave connections open, so an attempt there would wait for
 /// its whole deadline.
-async fn wait_silence(node: &NodeHandle, target: &TargetEntry) {
+///
+/// Giving up only helps a call that can be tried elsewhere, so it needs a retry
+/// in the budget, and a node that stops gives up nothing that is under way.
+async fn wait_silence(node: &NodeHandle, target: &TargetEntry, service: &ServiceName) {
     tokio::time::sleep(DOUBT_TIME).await;
     let mut missed = 0;
-    while missed < DOUBT_LIMIT {
+    loop {
         if gossip::ping(node, target.node, DOUBT_WAIT).await.is_some() {
             missed = 0;
-            tokio::time::sleep(DOUBT_PAUSE).await;
         } else {
             missed += 1;
         }
+        let may_give_up =
+            node.current_stage() == NodeStage::Ready && node.budget(service).has_retry();
+        if missed >= DOUBT_LIMIT && may_give_up {
+            break;
+        }
+        tokio::time::sleep(DOUBT_PAUSE).await;
     }
     log::warn!(event = "gate-silent", target:% = target.node, missed = missed; "route");
 }
