mesh: read the directory after the own entry is written

A node read the directory and wrote its entry at the same time, so two that started together could both read before either had written, and not meet until the next read a minute later.

Change: the entry is written first, then the directory is read. The store is linearizable, so of two nodes the one that writes last sees the other.

Ruled out: a shorter time between reads (each is billed, and it only makes the gap shorter).

--- a/wisteriaturnd/src/mesh/directory.rs
+++ b/wisteriaturnd/src/mesh/directory.rs
@@ -1,7 +1,6 @@
 //! Finding other nodes through a directory.
 //!
-//! A node writes its entry when it starts and reads the others' until it knows
-//! somebody. From then on members tell each other; the directory is read again
+//! A node writes its entry when it starts and reads the others' after that. From then on members tell each other; the directory is read again
 //! now and then, so that two halves which started apart find each other.
 
 use std::time::Duration;
@@ -31,8 +30,8 @@
 /// Writes the own entry and keeps looking for others while the node runs.
 pub async fn directory_task(node: NodeHandle, port: DirectoryPort) {
     let mut backoff = BACKOFF.0;
-    while let Err(error) = publish(&node, &port).await {
-        log::warn!(event = "directory-write-failed", error:% = error; "member");
+    while let Err(error) = enter(&node, &port).await {
+        log::warn!(event = "directory-entry-failed", error:% = error; "member");
         tokio::time::sleep(jittered(backoff)).await;
         backoff = (backoff * 2).min(BACKOFF.1);
     }
@@ -47,9 +46,14 @@
     }
 }
 
-async fn publish(node: &NodeHandle, port: &DirectoryPort) -> Result<(), LogError> {
+/// Writes the own entry and reads the others' after that. Of two nodes that
+/// start together, the one that writes last then sees the other; were they to
+/// read before they write, neither might, until they read again.
+async fn enter(node: &NodeHandle, port: &DirectoryPort) -> Result<(), LogError> {
     let record = lock(&node.table).own().clone();
-    port.publish(record).await
+    port.publish(record).await?;
+    find(node, port).await?;
+    Ok(())
 }
 
 /// Reads the directory and takes its entries as members, to be probed.
