lifecycle: answer calls that outlast the drain instead of cutting them

Change: at the end of the drain calls under way are answered by the node itself, 502 and `unknown`, and connections get 0.2 s to close.

Ruled out: a longer drain (the forced end follows); revoking at the gate (it keeps no ledger for idempotent calls).

--- a/tests/integration/process_stop.rs
+++ b/tests/integration/process_stop.rs
@@ -289,3 +289,33 @@
     cluster.remove_folder();
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_outlasts_the_drain_is_answered_and_not_just_cut() -> Result<()> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes: 2,
+        tuning: "drain_timeout_ms = 1000".to_owned(),
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster.add_service("portal", json!({})).await?;
+    cluster.start_target(0, "portal", 6)?;
+    cluster.wait_targets(1, "portal", 1).await?;
+    let ingress = cluster.ingress(1);
+    let call = tokio::spawn(async move {
+        let headers = [("x-sleep-ms", "9000"), ("x-run", "longest")];
+        client::send(ingress, "GET", "/portal", &headers, b"").await
+    });
+    cluster
+        .wait("the call to run", async || {
+            cluster.runs().contains_key("longest")
+        })
+        .await?;
+    cluster.node(1).signal("TERM");
+    let reply = call.await??;
+    assert_eq!((reply.status, reply.outcome()), (502, "unknown"));
+    assert_eq!(reply.header("wisteriaturn-reason"), "draining");
+    assert_eq!(cluster.node(1).wait().await?, 0);
+    cluster.remove_folder();
+    Ok(())
+}
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -314,7 +314,9 @@
 async fn admit_now(node: &NodeHandle, call: &GateCall) -> Result<AdmittedRun, RefusalReason> {
     match node.current_stage() {
         NodeStage::Starting => return Err(RefusalReason::NotReady),
-        NodeStage::Draining | NodeStage::Stopping => return Err(RefusalReason::Draining),
+        NodeStage::Draining | NodeStage::Stopping | NodeStage::Closing => {
+            return Err(RefusalReason::Draining);
+        }
         NodeStage::Ready => {}
     }
     let now = node.clock.now();
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -19,6 +19,7 @@
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::route::limit::RoutePermit;
 
+use crate::gate::answer::refusal;
 use crate::http::body::{BodyEnd, CountedBody, GuardedBody, NodeBody, RequestBody, boxed};
 use crate::http::headers;
 use crate::ingress::attempt::{self, RoutedCall};
@@ -85,8 +86,12 @@
     let request_id = headers::text(request.headers(), &node.edge.request_id)
         .unwrap_or_default()
         .to_owned();
-    let (response, route, permit) = match Box::pin(serve(node, request)).await {
-        Ok(served) => (served.response, served.route, Some(served.permit)),
+    let served = tokio::select! {
+        served = Box::pin(serve(node, request)) => served,
+        () = wait_closing(node) => Ok(cut_call()),
+    };
+    let (response, route, permit) = match served {
+        Ok(served) => (served.response, served.route, served.permit),
         Err(reason) => (
             node.refusal(CallOutcome::NotRun, reason, RETRY_AFTER),
             None,
@@ -120,7 +125,24 @@
 struct ServedCall {
     response: Response<NodeBody>,
     route: Option<String>,
-    permit: RoutePermit,
+    permit: Option<RoutePermit>,
+}
+
+/// Waits until the time for calls under way is over.
+async fn wait_closing(node: &NodeHandle) {
+    let mut stage = node.stage.subscribe();
+    // The sender lives in the node, so this cannot fail while it is held.
+    let _ = stage.wait_for(|stage| *stage >= NodeStage::Closing).await;
+}
+
+/// Returns the end of a call that was under way when the time was over: it may
+/// have run, wherever it was.
+fn cut_call() -> ServedCall {
+    ServedCall {
+        response: refusal(CallOutcome::Unknown, RefusalReason::Draining),
+        route: None,
+        permit: None,
+    }
 }
 
 /// Tells whether a request may be started early: whether its route is known and
@@ -146,7 +168,7 @@
     // Callers were told for a while that this node stops; a call that is taken
     // now could not end before it does.
     let has_warned = !node.settings.tuning.lame_duck.is_zero();
-    if has_warned && node.current_stage() == NodeStage::Stopping {
+    if has_warned && node.current_stage() >= NodeStage::Stopping {
         return Err(RefusalReason::Draining);
     }
     let view = node.view.load();
@@ -169,7 +191,7 @@
     Ok(ServedCall {
         response,
         route: Some(route.spec.name.to_string()),
-        permit,
+        permit: Some(permit),
     })
 }
 
--- a/wisteriaturnd/src/lifecycle.rs
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 use tokio_util::task::TaskTracker;
 use wisteriaturn::clock::lock;
 use wisteriaturn::invariant;
@@ -32,8 +32,8 @@
 /// by a closed port.
 const LEAVE_NOTICE: Duration = Duration::from_millis(500);
 
-/// Least time for connections to close after the gates are empty.
-const LEAST_CLOSE_TIME: Duration = Duration::from_millis(200);
+/// Time for the last answers to leave and for connections to close.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
 
 /// A node that runs.
 #[derive(Debug)]
@@ -104,11 +104,12 @@
         lame_duck.await;
         node.stage.send_replace(NodeStage::Stopping);
         self.connections.close();
-        let until = until.max(node.clock.now() + LEAST_CLOSE_TIME);
-        if timeout_at(until.into(), self.connections.wait())
-            .await
-            .is_err()
-        {
+        let is_closed = timeout_at(until.into(), self.connections.wait()).await;
+        if is_closed.is_err() {
+            log::warn!(event = "calls-cut", open = self.connections.len(); "node");
+            node.stage.send_replace(NodeStage::Closing);
+        }
+        if timeout(CLOSE_TIME, self.connections.wait()).await.is_err() {
             log::warn!(event = "connections-cut", open = self.connections.len(); "node");
         }
         let record = {
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -59,6 +59,9 @@
     Draining,
     /// The ingress closes as well.
     Stopping,
+    /// The time is over: calls under way are answered by the node itself, since
+    /// a closed connection would tell their callers less.
+    Closing,
 }
 
 /// What the tasks share.
