daemon: split the run and the attempts of a call into rooms

Admission, exchange with the target, placing and silence have files of their own now; nothing else changes. Ruled out: splitting node.rs as well, whose parts still share one state.

--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -7,45 +7,30 @@
 //! kept for a node that asks.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::ACCEPT_ENCODING;
 use hyper::{Request, Response};
 use tokio::time::timeout_at;
-use wisteriaturn::clock::lock;
 use wisteriaturn::gate::claim::{ClaimHolder, ClaimVerdict};
 use wisteriaturn::gate::ledger::{BODY_LIMIT, CallEnd, CallTicket, KeptAnswer};
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
-use wisteriaturn::gate::quarantine::RequestStanding;
-use wisteriaturn::gate::slots::{QueueRank, SlotDemand, SlotPermit};
+use wisteriaturn::gate::slots::SlotPermit;
 use wisteriaturn::ids::KeyHash;
 use wisteriaturn::peer::message::InquiryAnswer;
 
-use crate::error::LinkError;
+use crate::gate::admit::{AdmittedRun, admit, note_run};
 use crate::gate::answer::{inquiry_response, kept_response, refusal};
 use crate::gate::crash::{check_crash, note_end};
 use crate::gate::port;
-use crate::gate::standing::AnswerStanding;
-use crate::gate::targets::{self, LocalTarget};
+use crate::gate::send::{SendEnd, send};
 use crate::http::body::{BodyEnd, GuardedBody, NodeBody, RequestBody, boxed};
-use crate::http::exchange::{self, ExchangeError, pooled_body};
+use crate::http::exchange::pooled_body;
 use crate::http::headers;
 use crate::http::pool::PooledLink;
 use crate::mesh::hop::{self, ASK_INQUIRE, GateCall};
-use crate::node::{NodeHandle, NodeStage};
-
-/// Bytes of a target's refusal that are read to keep its connection.
-const REFUSAL_LIMIT: usize = 64 * 1024;
-
-/// What a run holds of its target.
-struct AdmittedRun {
-    permit: SlotPermit,
-    link: PooledLink,
-    target: Arc<LocalTarget>,
-}
+use crate::node::NodeHandle;
 
 /// Runs a call, or refuses it. The answer carries its outcome and how full
 /// the gate is.
@@ -282,212 +267,6 @@
         .collect()
 }
 
-/// Admits a call or refuses it, and says so with what decided.
-async fn admit(node: &NodeHandle, call: &GateCall) -> Result<AdmittedRun, RefusalReason> {
-    let came = node.clock.now();
-    let admitted = admit_now(node, call).await;
-    let waited = node.clock.now().saturating_duration_since(came);
-    let reason = admitted
-        .as_ref()
-        .err()
-        .map_or("none", |reason| reason.name());
-    let load = node
-        .targets
-        .get(&call.service)
-        .map(|target| target.gate.load());
-    log::info!(
-        event = "admission",
-        request:% = call.request_text(),
-        service:% = call.service,
-        reason = reason,
-        waited_us = waited.as_micros() as u64,
-        busy = load.map_or(0, |load| load.busy),
-        waiting = load.map_or(0, |load| load.waiting),
-        aim_ms = call.aim.remaining(came).as_millis() as u64,
-        deadline_ms = call.deadline.remaining(came).as_millis() as u64;
-        "gate"
-    );
-    admitted
-}
-
-/// Checks all that can refuse a call, waits for a slot and for a connection.
-async fn admit_now(node: &NodeHandle, call: &GateCall) -> Result<AdmittedRun, RefusalReason> {
-    match node.current_stage() {
-        NodeStage::Starting => return Err(RefusalReason::NotReady),
-        NodeStage::Draining | NodeStage::Stopping | NodeStage::Closing => {
-            return Err(RefusalReason::Draining);
-        }
-        NodeStage::Ready => {}
-    }
-    let now = node.clock.now();
-    let standing = lock(&node.suspects).standing(call.fingerprint, now);
-    if let RequestStanding::Quarantined(_) = standing {
-        return Err(RefusalReason::Quarantined);
-    }
-    let target = node
-        .targets
-        .get(&call.service)
-        .ok_or(RefusalReason::NoTarget)?;
-    let until = call.deadline.at();
-    let demand = SlotDemand {
-        rank: QueueRank::new(call.class, call.priority),
-        aim: call.aim.at(),
-        deadline: until,
-        run: expected_run(node, call, &target),
-    };
-    let acquired = timeout_at(until.into(), target.gate.acquire_for(demand)).await;
-    let permit = acquired.map_err(|_| RefusalReason::Deadline)??;
-    let waited = node.clock.now().duration_since(now);
-    node.metrics.gate_wait_seconds.observe(waited.as_secs_f64());
-    if !call.deadline.allows_attempt(node.clock.now()) {
-        return Err(RefusalReason::Deadline);
-    }
-    let link = connect(node, call, &target).await?;
-    Ok(AdmittedRun {
-        permit,
-        link,
-        target,
-    })
-}
-
-/// Returns how long a call is expected to hold its slot: as long as those of its
-/// route, or as any if there was none yet.
-fn expected_run(node: &NodeHandle, call: &GateCall, target: &LocalTarget) -> Duration {
-    let of_route = call.route.as_ref().and_then(|route| node.runs.held(route));
-    of_route.map_or_else(|| target.gate.load().mean_run, |held| held.run)
-}
-
-/// Notes how long a call held its slot.
-fn note_run(node: &NodeHandle, call: &GateCall, started: Instant) {
-    if let Some(route) = &call.route {
-        let took = node.clock.now().saturating_duration_since(started);
-        node.runs.note(route, 0, took);
-    }
-}
-
-async fn connect(
-    node: &NodeHandle,
-    call: &GateCall,
-    target: &LocalTarget,
-) -> Result<PooledLink, RefusalReason> {
-    match node.target_pool.take(target.address).await {
-        Ok(link) => Ok(link),
-        Err(error) => {
-            log::warn!(
-                event = "target-unreachable",
-                service:% = call.service,
-                address:% = target.address,
-                error:% = error;
-                "gate"
-            );
-            if matches!(error, LinkError::Unreachable(_)) {
-                // It announces itself again when it is back.
-                targets::withdraw(node, &call.service).await;
-            }
-            Err(RefusalReason::Unreachable)
-        }
-    }
-}
-
-/// How the exchange of a started call ended.
-enum SendEnd {
-    /// The target answered this call.
-    Answered(Box<Response<Incoming>>, PooledLink),
-    /// The target says that it did not run the call.
-    NotRun,
-    /// What came belongs to another call or did not come from the target.
-    Foreign,
-    /// The exchange was lost.
-    Lost(RefusalReason),
-}
-
-/// Sends a started call. A connection that the target had closed meanwhile
-/// took no byte, and the call goes out over a new one.
-async fn send(
-    node: &NodeHandle,
-    call: &GateCall,
-    mut link: PooledLink,
-    target: &LocalTarget,
-    mut request: Request<NodeBody>,
-) -> SendEnd {
-    let map = request.headers_mut();
-    let left = call.deadline.remaining(node.clock.now()).as_millis();
-    headers::set(map, node.edge.deadline_ms.clone(), left);
-    headers::set(map, headers::CALL, call.call);
-    if let Some(instance) = &target.instance {
-        headers::set(map, node.edge.expected_instance.clone(), instance);
-    }
-    let may_encode = map.contains_key(ACCEPT_ENCODING);
-    let until = call.deadline.at().into();
-    loop {
-        let sent = timeout_at(until, exchange::send(&mut link, request)).await;
-        match sent {
-            Ok(Ok(response)) => {
-                return judge(node, call, target, may_encode, response, link).await;
-            }
-            Ok(Err(ExchangeError::Unsent(unsent))) if link.is_reused => {
-                request = *unsent;
-                link = match node.target_pool.open(target.address).await {
-                    Ok(link) => link,
-                    Err(_) => return SendEnd::Lost(RefusalReason::TargetLost),
-                };
-            }
-            Ok(Err(_)) => return SendEnd::Lost(RefusalReason::TargetLost),
-            Err(_) => return SendEnd::Lost(RefusalReason::Deadline),
-        }
-    }
-}
-
-/// Tells whether an answer is the target's own answer to this call.
-async fn judge(
-    node: &NodeHandle,
-    call: &GateCall,
-    target: &LocalTarget,
-    may_encode: bool,
-    response: Response<Incoming>,
-    link: PooledLink,
-) -> SendEnd {
-    let standing = AnswerStanding::of(&node.edge, call.request_id.as_ref(), may_encode, &response);
-    if standing == AnswerStanding::Own {
-        return SendEnd::Answered(Box::new(response), link);
-    }
-    log::warn!(
-        event = "answer-refused",
-        request:% = call.request_text(),
-        service:% = call.service,
-        target:% = target.address,
-        standing:% = standing.name(),
-        status = response.status().as_u16();
-        "gate"
-    );
-    match standing {
-        AnswerStanding::Own | AnswerStanding::Foreign => {
-            // The next answer on this connection may be ours, or anything.
-            node.target_pool.forget(target.address);
-            SendEnd::Foreign
-        }
-        AnswerStanding::NotRun => {
-            finish_refusal(node, response, link);
-            SendEnd::NotRun
-        }
-        AnswerStanding::OtherTarget => {
-            // Another target took the address over; it will announce itself.
-            targets::withdraw(node, &call.service).await;
-            SendEnd::NotRun
-        }
-    }
-}
-
-/// Reads the rest of a target's refusal, so that its connection can be kept.
-fn finish_refusal(node: &NodeHandle, response: Response<Incoming>, link: PooledLink) {
-    let stall = node.settings.tuning.stall_timeout;
-    let body = pooled_body(response.into_body(), link, &node.target_pool, stall, |_| ());
-    tokio::spawn(async move {
-        // A body that fails closes its connection, which is all there is to do.
-        let _ = RequestBody::read(body, REFUSAL_LIMIT).await;
-    });
-}
-
 /// Answers a call whose exchange with the target was lost.
 async fn lost(
     node: &NodeHandle,
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -19,21 +19,20 @@
 use wisteriaturn::config::view::{RouteEntry, ServiceEntry, ServingView, TargetEntry};
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::quarantine::RequestStanding;
-use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, NodeAddress, ServiceName};
+use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, NodeAddress};
 use wisteriaturn::retry::budget::RetryBudget;
 use wisteriaturn::retry::deadline::CallDeadline;
-use wisteriaturn::route::choose::{TargetChoice, choose_target};
 use wisteriaturn::route::load::AttemptResult;
-use wisteriaturn::route::place::{CallDemand, PlacedCall, place_call};
 
 use crate::gate::answer::{inquiry_response, refusal};
 use crate::gate::run;
 use crate::http::body::{GuardedBody, NodeBody, RequestBody, boxed, empty};
 use crate::http::headers;
+use crate::ingress::placing::choose;
+use crate::ingress::silence::wait_silence;
 use crate::logs::Clean;
-use crate::mesh::gossip;
 use crate::mesh::hop::{self, GateCall, HopResult};
-use crate::node::{NodeHandle, NodeStage};
+use crate::node::NodeHandle;
 
 /// Most attempts of one call, those included that a gate refused.
 const ATTEMPT_LIMIT: usize = 4;
@@ -46,21 +45,6 @@
 /// fit; archives beyond it stream.
 const ANSWER_LIMIT: usize = 256 * 1024;
 
-/// Time after which a gate that has not answered is asked whether it lives:
-/// longer than most runs, so that few calls pay for a probe.
-const DOUBT_TIME: Duration = Duration::from_millis(400);
-
-/// Pause between two such questions.
-const DOUBT_PAUSE: Duration = Duration::from_millis(200);
-
-/// Time for the answer: a VM with a small share of a core stands still for up
-/// to a tenth of a second, and a thin link holds packets back.
-const DOUBT_WAIT: Duration = Duration::from_millis(400);
-
-/// Questions in a row without an answer after which an attempt is given up:
-/// giving up wrongly costs a run that may be nearly done.
-const DOUBT_LIMIT: u32 = 3;
-
 /// Time that a target is passed over after its gate could not be reached.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
 
@@ -98,7 +82,8 @@
 }
 
 impl RoutedCall {
-    fn request_text(&self) -> Clean<'_> {
+    /// Returns the caller's name for its attempt, for log lines.
+    pub(crate) fn request_text(&self) -> Clean<'_> {
         let text = self.request_id.as_ref().and_then(|id| id.to_str().ok());
         Clean(text.unwrap_or_default())
     }
@@ -231,82 +216,6 @@
         && standing == RequestStanding::Clean
 }
 
-fn choose(node: &NodeHandle, call: &RoutedCall, tried: &[NodeAddress]) -> Option<TargetEntry> {
-    let service = &call.service.spec.name;
-    // A retry looks at the newest targets; the routes stay those of the call.
-    let targets = if tried.is_empty() {
-        call.view.targets(service)
-    } else {
-        node.view.load().targets_if_held(service)?
-    };
-    let now = node.clock.now();
-    let demand = demand(node, call, now);
-    let choice = node.load.with(service, |load| {
-        let policy = &call.service.policy;
-        let mut rng = rand::rng();
-        match &demand {
-            Some(demand) => {
-                let route = &call.route.spec.name;
-                let calls = PlacedCall {
-                    route,
-                    demand,
-                    tried,
-                };
-                place_call(&node.place, &targets, policy, load, calls, now, &mut rng)
-            }
-            None => choose_target(&node.place, &targets, policy, load, tried, now, &mut rng),
-        }
-    });
-    let target = choice.chosen.map(|index| targets[index].clone());
-    log_choice(call, &choice, tried.len() + 1);
-    target
-}
-
-/// Returns what the call asks of its place, where its route says within which
-/// time an answer is worth most.
-fn demand(node: &NodeHandle, call: &RoutedCall, now: Instant) -> Option<CallDemand> {
-    call.route.spec.target_latency_ms?;
-    let expected = node.sizes.expect(&call.route.spec.name);
-    Some(CallDemand {
-        aim: call.aim.remaining(now),
-        deadline: call.deadline.remaining(now),
-        answer_bytes: expected.bytes,
-        run: expected.run,
-    })
-}
-
-fn log_choice(call: &RoutedCall, choice: &TargetChoice, attempt: usize) {
-    let candidates = choice.candidates.len();
-    let Some(chosen) = choice.chosen.map(|index| &choice.candidates[index]) else {
-        log::warn!(
-            event = "route",
-            request:% = call.request_text(),
-            route:% = call.route.spec.name,
-            service:% = call.service.spec.name,
-            target = "none",
-            candidates = candidates,
-            attempt = attempt;
-            "route"
-        );
-        return;
-    };
-    log::info!(
-        event = "route",
-        request:% = call.request_text(),
-        route:% = call.route.spec.name,
-        service:% = call.service.spec.name,
-        version:% = call.view.config.version,
-        target:% = chosen.node,
-        data_centre:% = chosen.data_centre,
-        distance = chosen.distance,
-        busy = chosen.busy,
-        slots = chosen.slots,
-        candidates = candidates,
-        attempt = attempt;
-        "route"
-    );
-}
-
 async fn attempt(
     node: &NodeHandle,
     call: &mut RoutedCall,
@@ -410,31 +319,6 @@
     }
 }
 
-/// Waits until the node of a target no longer answers probes. A frozen node
-/// and a cut link leave connections open, so an attempt there would wait for
-/// its whole deadline.
-///
-/// Giving up only helps a call that can be tried elsewhere, so it needs a retry
-/// in the budget, and a node that stops gives up nothing that is under way.
-async fn wait_silence(node: &NodeHandle, target: &TargetEntry, service: &ServiceName) {
-    tokio::time::sleep(DOUBT_TIME).await;
-    let mut missed = 0;
-    loop {
-        if gossip::ping(node, target.node, DOUBT_WAIT).await.is_some() {
-            missed = 0;
-        } else {
-            missed += 1;
-        }
-        let may_give_up =
-            node.current_stage() == NodeStage::Ready && node.budget(service).has_retry();
-        if missed >= DOUBT_LIMIT && may_give_up {
-            break;
-        }
-        tokio::time::sleep(DOUBT_PAUSE).await;
-    }
-    log::warn!(event = "gate-silent", target:% = target.node, missed = missed; "route");
-}
-
 /// Reads an answer whole where it can be asked for again: one that breaks off
 /// is then an attempt that failed and not a caller's broken answer.
 async fn hold_answer(call: &GateCall, end: AttemptEnd) -> AttemptEnd {
--- a/wisteriaturnd/src/ingress/mod.rs
+++ b/wisteriaturnd/src/ingress/mod.rs
@@ -6,4 +6,6 @@
 pub mod attempt;
 pub mod call;
 pub mod pipeline;
+pub mod placing;
 pub mod port;
+pub mod silence;
