daemon: one copy of what stood twice, found on reading the change again

Cause: the jitter of pauses, the loop that judges targets and the text of a caller's name stood twice; the limits of a view were searched where they have a key; an unknown life was looked up twice; two arms of a match could not differ from a third; an answer's standing was matched after it had been tested. The comment on a shared limit told of halves that are not in the code.

Ruled out: folding the counting body into the guarded one (every closure would get a number that one of them needs).

--- a/src/config/view.rs
+++ b/src/config/view.rs
@@ -13,7 +13,10 @@
 use arc_swap::ArcSwap;
 
 use crate::config::fold::{ChainHash, ConfigState};
-use crate::config::resource::{LimitsSpec, PolicySpec, Resource, RouteSpec, ServiceSpec};
+use crate::config::resource::{
+    LIMITS_NAME, LimitsSpec, PolicySpec, Resource, ResourceKey, ResourceKind, RouteSpec,
+    ServiceSpec,
+};
 use crate::config::validate::{ResourceMap, normal_path};
 use crate::error::ViewError;
 use crate::ids::{ConfigVersion, DataCentre, Incarnation, NodeAddress, RegionName, ServiceName};
@@ -65,13 +68,11 @@
                 policies.insert(policy.service.clone(), policy.clone());
             }
         }
-        let limits = state
-            .resources()
-            .values()
-            .find_map(|held| match &held.resource {
-                Resource::Limits(limits) => Some(limits.clone()),
-                _ => None,
-            });
+        let key = ResourceKey::new(ResourceKind::Limits, LIMITS_NAME);
+        let limits = match state.resources().get(&key).map(|held| &held.resource) {
+            Some(Resource::Limits(limits)) => Some(limits.clone()),
+            _ => None,
+        };
         let mut view = Self {
             version: state.version(),
             chain: state.chain(),
--- a/src/gate/announce.rs
+++ b/src/gate/announce.rs
@@ -87,7 +87,7 @@
         incarnation: Option<Incarnation>,
         now: Incarnation,
     ) -> bool {
-        if !self.lives.contains_key(instance) {
+        let Some(mark) = self.lives.get_mut(instance) else {
             self.make_room(instance);
             let mark = LifeMark {
                 incarnation: incarnation.unwrap_or(now),
@@ -96,9 +96,6 @@
             };
             self.lives.insert(instance.clone(), mark);
             return false;
-        }
-        let Some(mark) = self.lives.get_mut(instance) else {
-            return false;
         };
         if incarnation.is_some_and(|named| named < mark.incarnation) {
             return false;
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -52,9 +52,9 @@
         }
     }
 
-    /// Returns the share of one of `members` nodes. Half of the slack is earned
-    /// over time and half is kept for a burst, so that the two together stay
-    /// within it when all nodes spend theirs in one window.
+    /// Returns the share of one of `members` nodes: what it may keep for a burst
+    /// is also what it earns in a window, and the two together stay below the
+    /// slack when all nodes spend theirs, but for the least that each may keep.
     fn share_of(limit: RetryLimit, members: usize) -> Self {
         let share = limit.slack * SHARED_USE / members.max(1) as f64;
         let floor_per_second = share / limit.window.as_secs_f64().max(1.0);
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -109,10 +109,7 @@
 where
     R: Rng,
 {
-    let mut candidates = Vec::with_capacity(targets.len());
-    for target in targets {
-        candidates.push(judge(place, target, load, tried, now));
-    }
+    let mut candidates = judge_all(place, targets, load, tried, now);
     let reach = update_reach(&candidates, policy, load);
     let eligible = within_reach(&mut candidates, reach);
     let chosen = match eligible.as_slice() {
@@ -126,7 +123,21 @@
     TargetChoice { chosen, candidates }
 }
 
-pub(crate) fn judge(
+/// Tells of each target whether it can be chosen.
+pub(crate) fn judge_all(
+    place: &NodePlace,
+    targets: &[TargetEntry],
+    load: &mut ServiceLoad,
+    tried: &[NodeAddress],
+    now: Instant,
+) -> Vec<TargetCandidate> {
+    targets
+        .iter()
+        .map(|target| judge(place, target, load, tried, now))
+        .collect()
+}
+
+fn judge(
     place: &NodePlace,
     target: &TargetEntry,
     load: &mut ServiceLoad,
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -20,7 +20,7 @@
 use crate::config::view::TargetEntry;
 use crate::ids::{NodeAddress, RouteName};
 use crate::route::choose::{
-    CandidateVerdict, NodePlace, TargetCandidate, TargetChoice, judge, warm_share,
+    CandidateVerdict, NodePlace, TargetCandidate, TargetChoice, judge_all, warm_share,
 };
 use crate::route::load::ServiceLoad;
 
@@ -104,10 +104,7 @@
 where
     R: Rng,
 {
-    let mut candidates = Vec::with_capacity(targets.len());
-    for target in targets {
-        candidates.push(judge(place, target, load, call.tried, now));
-    }
+    let mut candidates = judge_all(place, targets, load, call.tried, now);
     let mut costs = Vec::with_capacity(targets.len());
     for (target, candidate) in targets.iter().zip(&candidates) {
         let reported = load.get(target).mean_run(call.route, now);
--- a/wisteriaturnd/src/control/documents.rs
+++ b/wisteriaturnd/src/control/documents.rs
@@ -12,7 +12,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use rand::RngExt;
 use wisteriaturn::clock::lock;
 use wisteriaturn::config::document::{ConfigDocument, DocumentBatch, DocumentPort};
 use wisteriaturn::error::LogError;
@@ -20,6 +19,7 @@
 use wisteriaturn::member::source::{SIGN_TIME, SILENCE_TIME, cell_of, readers};
 use wisteriaturn::peer::message::Datagram;
 
+use crate::jitter::jittered;
 use crate::mesh::gossip;
 use crate::mesh::peer_client;
 use crate::metrics::TrafficKind;
@@ -127,10 +127,6 @@
     }
 }
 
-fn jittered(time: Duration) -> Duration {
-    time.mul_f64(rand::rng().random_range(0.7..1.3))
-}
-
 /// Puts a document in force if it is newer than what is.
 fn adopt(node: &NodeHandle, document: ConfigDocument) {
     let version = document.version;
--- a/wisteriaturnd/src/gate/send.rs
+++ b/wisteriaturnd/src/gate/send.rs
@@ -78,20 +78,20 @@
     link: PooledLink,
 ) -> SendEnd {
     let standing = AnswerStanding::of(&node.edge, call.request_id.as_ref(), may_encode, &response);
-    if standing == AnswerStanding::Own {
-        return SendEnd::Answered(Box::new(response), link);
+    if standing != AnswerStanding::Own {
+        log::warn!(
+            event = "answer-refused",
+            request:% = call.request_text(),
+            service:% = call.service,
+            target:% = target.address,
+            standing:% = standing.name(),
+            status = response.status().as_u16();
+            "gate"
+        );
     }
-    log::warn!(
-        event = "answer-refused",
-        request:% = call.request_text(),
-        service:% = call.service,
-        target:% = target.address,
-        standing:% = standing.name(),
-        status = response.status().as_u16();
-        "gate"
-    );
     match standing {
-        AnswerStanding::Own | AnswerStanding::Foreign => {
+        AnswerStanding::Own => SendEnd::Answered(Box::new(response), link),
+        AnswerStanding::Foreign => {
             // The next answer on this connection may be ours, or anything.
             node.target_pool.forget(target.address);
             SendEnd::Foreign
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -84,8 +84,7 @@
 impl RoutedCall {
     /// Returns the caller's name for its attempt, for log lines.
     pub(crate) fn request_text(&self) -> Clean<'_> {
-        let text = self.request_id.as_ref().and_then(|id| id.to_str().ok());
-        Clean(text.unwrap_or_default())
+        Clean::of_header(self.request_id.as_ref())
     }
 }
 
@@ -381,14 +380,10 @@
         (CallOutcome::Done, _) if end.is_target_failure() => AttemptResult::Faulty,
         (CallOutcome::Done, _) => AttemptResult::Answered,
         (CallOutcome::NotRun, Some(RefusalReason::TargetBusy)) => AttemptResult::Faulty,
-        (CallOutcome::NotRun, Some(RefusalReason::Unreachable)) => {
-            AttemptResult::Unreachable(UNREACHABLE_TIME)
-        }
-        (CallOutcome::Unknown, Some(RefusalReason::GateLost)) => {
+        (_, Some(RefusalReason::Unreachable | RefusalReason::GateLost)) => {
             AttemptResult::Unreachable(UNREACHABLE_TIME)
         }
         (_, Some(RefusalReason::Saturated)) => AttemptResult::Full,
-        (_, Some(RefusalReason::Unreachable | RefusalReason::GateLost)) => AttemptResult::Failed,
         (_, Some(RefusalReason::TargetLost)) => AttemptResult::Failed,
         (CallOutcome::Unknown, Some(RefusalReason::Deadline)) => AttemptResult::Failed,
         _ => AttemptResult::Refused,
--- a/wisteriaturnd/src/lib.rs
+++ b/wisteriaturnd/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod gate;
 pub mod http;
 pub mod ingress;
+pub mod jitter;
 pub mod lifecycle;
 pub mod logs;
 pub mod mesh;
--- a/wisteriaturnd/src/logs.rs
+++ b/wisteriaturnd/src/logs.rs
@@ -6,6 +6,7 @@
 
 use std::fmt;
 
+use hyper::header::HeaderValue;
 use log::LevelFilter;
 use logforth::append::Stdout;
 use logforth::bridge::log::LogBridge;
@@ -18,6 +19,14 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Clean<'a>(pub &'a str);
 
+impl<'a> Clean<'a> {
+    /// Returns the text of a header, or nothing as an empty text.
+    pub fn of_header(value: Option<&'a HeaderValue>) -> Self {
+        let text = value.and_then(|value| value.to_str().ok());
+        Self(text.unwrap_or_default())
+    }
+}
+
 impl fmt::Display for Clean<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.0.is_empty() {
--- a/wisteriaturnd/src/mesh/directory.rs
+++ b/wisteriaturnd/src/mesh/directory.rs
@@ -1,11 +1,11 @@
 //! Finding other nodes through a directory.
 //!
-//! A node writes its entry when it starts and reads the others' after that. From then on members tell each other; the directory is read again
-//! now and then, so that two halves which started apart find each other.
+//! A node writes its entry when it starts and reads the others' after that.
+//! From then on members tell each other; the directory is read again now and
+//! then, so that two halves which started apart find each other.
 
 use std::time::Duration;
 
-use rand::RngExt;
 use wisteriaturn::clock::lock;
 use wisteriaturn::error::LogError;
 use wisteriaturn::ids::NodeAddress;
@@ -13,6 +13,7 @@
 use wisteriaturn::member::record::MemberRecord;
 use wisteriaturn::member::relay::snapshot_writer;
 
+use crate::jitter::jittered;
 use crate::mesh::peer_client::merge_records;
 use crate::node::NodeHandle;
 
@@ -95,7 +96,3 @@
         }
     }
 }
-
-fn jittered(time: Duration) -> Duration {
-    time.mul_f64(rand::rng().random_range(0.7..1.3))
-}
--- a/wisteriaturnd/src/mesh/hop.rs
+++ b/wisteriaturnd/src/mesh/hop.rs
@@ -76,8 +76,7 @@
 impl GateCall {
     /// Returns the caller's name for its attempt, for log lines.
     pub fn request_text(&self) -> Clean<'_> {
-        let text = self.request_id.as_ref().and_then(|id| id.to_str().ok());
-        Clean(text.unwrap_or_default())
+        Clean::of_header(self.request_id.as_ref())
     }
 }
 
