testing: wait until a stopped process stands still

`kill` only asks for the stop; a thread that runs goes on for a little, so the gate was not frozen yet and its answer was right.

Change: after a STOP the harness returns when every thread of the process stands still. No assertion changes; what the test presupposes is now so.

--- a/testing/src/process.rs
+++ b/testing/src/process.rs
@@ -3,9 +3,16 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::OnceLock;
+use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr, eyre};
 
+/// Longest wait for a process to stand still, far above what that takes.
+const STOP_LIMIT: Duration = Duration::from_secs(30);
+
+/// Pause between two looks at it.
+const STOP_STEP: Duration = Duration::from_millis(1);
+
 /// A process that is killed, by its own id, when it is dropped.
 #[derive(Debug)]
 pub struct OwnedProcess {
@@ -34,10 +41,32 @@
         self.child.id()
     }
 
-    /// Sends a signal by its name, as `kill` takes it.
+    /// Sends a signal by its name, as `kill` takes it. After a `STOP` it returns
+    /// when the process stands still: `kill` only asks for that, and a thread that
+    /// runs at that moment goes on for a little.
     pub fn signal(&self, name: &str) {
         let id = self.id().to_string();
         let _ = Command::new("kill").args(["-s", name, &id]).status();
+        if name == "STOP" {
+            let until = Instant::now() + STOP_LIMIT;
+            while !self.is_stopped() {
+                assert!(Instant::now() < until, "process {id} does not stop");
+                std::thread::sleep(STOP_STEP);
+            }
+        }
+    }
+
+    /// Tells whether every thread of the process stands still.
+    fn is_stopped(&self) -> bool {
+        let tasks = format!("/proc/{}/task", self.id());
+        let Ok(entries) = std::fs::read_dir(tasks) else {
+            // A process that is gone runs nothing either.
+            return true;
+        };
+        entries.flatten().all(|entry| {
+            let status = std::fs::read_to_string(entry.path().join("status"));
+            status.is_ok_and(|status| status.contains("State:\tT"))
+        })
     }
 
     /// Kills the process and waits for its end.
