gate: tell a restarted node which targets said that they leave

Cause: the ends of targets' lives were held in the memory of the node beside them. A restarted node took a late announcement of a target that had said to its earlier life that it leaves, and vouched for it again. Change: a member's record carries the last four ends of lives, peers keep them over the member's lives, and hand them back in the answer to a join. What was announced again meanwhile is withdrawn. Ruled out: the store (a write for each drain, and no help while it is away); refusing all announcements for some seconds after a restart (live targets would be missing as long).

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -77,6 +77,7 @@
             slots: SlotCount(6),
             state: TargetState::Serving,
         }],
+        departures: Vec::new(),
     }
 }
 
--- a/src/gate/announce.rs
+++ b/src/gate/announce.rs
@@ -5,11 +5,16 @@
 //! is later than what the same life said before, a life only when it began
 //! later than the one held, and an address belongs to the life that began last
 //! there: the dead send late announcements too. A life that left stays gone.
+//!
+//! A node has no disk, and a late announcement may meet it after a restart. So
+//! the ends of lives go along in the node's member record, and its peers hand
+//! them back to it when it joins again.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use crate::ids::{Incarnation, InstanceId, Sequence};
+use crate::member::record::{DEPARTURE_LIMIT, TargetDeparture};
 
 /// Most lives remembered; a VM has one target and replaces it now and then.
 pub const LIFE_LIMIT: usize = 256;
@@ -25,15 +30,27 @@
     pub sequence: Sequence,
     /// Where it serves.
     pub address: SocketAddr,
+    /// Whether it says that it leaves.
+    pub is_draining: bool,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 struct LifeMark {
     incarnation: Incarnation,
     sequence: Sequence,
+    address: Option<SocketAddr>,
+    is_draining: bool,
     has_left: bool,
 }
 
+impl LifeMark {
+    /// Tells whether the other mark was made later.
+    fn is_before(&self, other: &Self) -> bool {
+        (self.incarnation, self.has_left, self.sequence)
+            < (other.incarnation, other.has_left, other.sequence)
+    }
+}
+
 /// What the targets on one VM said of themselves.
 #[derive(Debug, Default)]
 pub struct AnnounceBook {
@@ -69,12 +86,69 @@
             LifeMark {
                 incarnation: statement.incarnation,
                 sequence: statement.sequence,
+                address: Some(statement.address),
+                is_draining: statement.is_draining,
                 has_left: false,
             },
         );
         true
     }
 
+    /// Returns the lives that are ending or have ended, the latest first and at
+    /// most [`DEPARTURE_LIMIT`].
+    pub fn departures(&self) -> Vec<TargetDeparture> {
+        let mut departures: Vec<_> = self
+            .lives
+            .iter()
+            .filter(|(_, mark)| mark.is_draining || mark.has_left)
+            .map(|(instance, mark)| TargetDeparture {
+                instance: instance.clone(),
+                incarnation: mark.incarnation,
+                sequence: mark.sequence,
+                address: mark.address,
+                has_left: mark.has_left,
+            })
+            .collect();
+        departures.sort_by(|a, b| (b.incarnation, &b.instance).cmp(&(a.incarnation, &a.instance)));
+        departures.truncate(DEPARTURE_LIMIT);
+        departures
+    }
+
+    /// Takes back what an earlier life of this node knew of the ends of lives.
+    /// Returns whether any of it was new.
+    pub fn restore(&mut self, departures: &[TargetDeparture]) -> bool {
+        let mut is_new = false;
+        for departure in departures {
+            let mark = LifeMark {
+                incarnation: departure.incarnation,
+                sequence: departure.sequence,
+                address: departure.address,
+                is_draining: true,
+                has_left: departure.has_left,
+            };
+            let held = self.lives.get(&departure.instance);
+            if held.is_some_and(|held| !held.is_before(&mark)) {
+                continue;
+            }
+            is_new = true;
+            self.make_room(&departure.instance);
+            if let Some(address) = departure.address {
+                let latest = self.addresses.entry(address).or_default();
+                *latest = (*latest).max(departure.incarnation);
+            }
+            self.lives.insert(departure.instance.clone(), mark);
+        }
+        is_new
+    }
+
+    /// Tells whether a life is known to be ending or to have ended.
+    pub fn is_departing(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
+        self.lives.get(instance).is_some_and(|mark| {
+            mark.incarnation > incarnation
+                || (mark.incarnation == incarnation && (mark.is_draining || mark.has_left))
+        })
+    }
+
     /// Notes that a life has ended: the last one that is known, unless the
     /// target names an earlier one. Returns whether that life is known.
     ///
@@ -92,6 +166,8 @@
             let mark = LifeMark {
                 incarnation: incarnation.unwrap_or(now),
                 sequence: Sequence(u64::MAX),
+                address: None,
+                is_draining: true,
                 has_left: true,
             };
             self.lives.insert(instance.clone(), mark);
--- a/src/member/record.rs
+++ b/src/member/record.rs
@@ -3,12 +3,16 @@
 use std::net::SocketAddr;
 
 use crate::ids::{
-    DataCentre, Incarnation, NodeAddress, RegionName, Sequence, ServiceName, SlotCount,
+    DataCentre, Incarnation, InstanceId, NodeAddress, RegionName, Sequence, ServiceName, SlotCount,
 };
 
 /// Most targets that one node vouches for.
 pub const TARGET_LIMIT: usize = 8;
 
+/// Most ends of targets' lives in a record: late announcements are seconds late,
+/// and a VM replaces its one target now and then.
+pub const DEPARTURE_LIMIT: usize = 4;
+
 record! {
     /// Whether a target takes calls.
     #[derive(Copy)]
@@ -31,6 +35,21 @@
         pub state: TargetState,
     }
 
+    /// A target that said that it leaves, kept by peers for a node that may be
+    /// restarted before the target's late announcements arrive.
+    pub struct TargetDeparture {
+        /// Name of the target.
+        pub instance: InstanceId,
+        /// Its life.
+        pub incarnation: Incarnation,
+        /// Number of its last announcement that was taken.
+        pub sequence: Sequence,
+        /// Where it served, if it was known.
+        pub address: Option<SocketAddr>,
+        /// Whether it has left; otherwise it drains.
+        pub has_left: bool,
+    }
+
     /// The standing of a member. A later one wins over an earlier one about
     /// the same statement of the member.
     #[derive(Copy, PartialOrd, Ord, Hash)]
@@ -65,6 +84,8 @@
         pub is_ready: bool,
         /// Targets that it vouches for.
         pub targets: Vec<TargetRecord>,
+        /// Targets that it knows to leave.
+        pub departures: Vec<TargetDeparture>,
     }
 }
 
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::{ConfigVersion, DataCentre, NodeAddress, Sequence};
-use crate::member::record::{MemberRecord, MemberState, TargetRecord};
+use crate::member::record::{MemberRecord, MemberState, TargetDeparture};
 
 /// Most members that a node keeps.
 pub const MEMBER_LIMIT: usize = 8192;
@@ -39,6 +39,9 @@
     pub record: MemberRecord,
     /// Highest version that this node saw the member hold.
     pub held: ConfigVersion,
+    /// Targets that the member's last life with any knew to leave. A restarted
+    /// member knows none until it is told.
+    pub departures: Vec<TargetDeparture>,
     /// When the standing last changed.
     pub changed: Instant,
     digest: u64,
@@ -204,11 +207,6 @@
         self.digests.values().fold(0, |sum, digest| sum ^ digest)
     }
 
-    /// Returns the targets that this node vouches for.
-    pub fn own_targets(&self) -> &[TargetRecord] {
-        &self.own().targets
-    }
-
     /// Tells whether so large a share of a data centre looks dead that the
     /// likelier reason is this node's own link.
     pub fn looks_cut_off(&self, data_centre: &DataCentre) -> bool {
@@ -243,20 +241,23 @@
     }
 
     fn put(&mut self, record: MemberRecord, now: Instant) {
-        let held = match self.members.get(&record.address) {
-            Some(old) => {
-                let (place, digest, held) = (old.record.data_centre.clone(), old.digest, old.held);
-                self.toggle_digest(&place, digest);
-                held
-            }
-            None => ConfigVersion::default(),
-        };
+        let old = self.members.remove(&record.address);
+        if let Some(old) = &old {
+            self.toggle_digest(&old.record.data_centre, old.digest);
+        }
+        let (held, mut departures) = old
+            .map(|old| (old.held, old.departures))
+            .unwrap_or_default();
+        if !record.departures.is_empty() {
+            departures.clone_from(&record.departures);
+        }
         let digest = record.digest();
         self.toggle_digest(&record.data_centre.clone(), digest);
         self.generation += 1;
         let entry = MemberEntry {
             record,
             held,
+            departures,
             changed: now,
             digest,
         };
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -15,7 +15,7 @@
 use crate::gate::ledger::CallEnd;
 use crate::gate::outcome::RefusalReason;
 use crate::ids::{CallId, ConfigVersion, DataCentre, Incarnation, LifeId, NodeAddress};
-use crate::member::record::MemberRecord;
+use crate::member::record::{MemberRecord, TargetDeparture};
 use crate::member::rumor::Rumor;
 
 /// Largest datagram in bytes; below the smallest usual path limit.
@@ -156,6 +156,8 @@
             seen_version: ConfigVersion,
             /// Incarnation last seen at the sender's address.
             seen_incarnation: Incarnation,
+            /// Targets that an earlier life of the sender knew to leave.
+            departures: Vec<TargetDeparture>,
         },
         /// The data centres whose members differ.
         Differ(Vec<DataCentre>),
--- a/testing/src/experiment/scale.rs
+++ b/testing/src/experiment/scale.rs
@@ -146,6 +146,7 @@
             slots: SlotCount(6),
             state: TargetState::Serving,
         }],
+        departures: Vec::new(),
     }
 }
 
--- a/tests/integration/document_rules.rs
+++ b/tests/integration/document_rules.rs
@@ -98,6 +98,7 @@
         hop: address(host),
         is_ready,
         targets: Vec::new(),
+        departures: Vec::new(),
     }
 }
 
--- a/tests/integration/member_table.rs
+++ b/tests/integration/member_table.rs
@@ -26,6 +26,7 @@
         hop: address(host),
         is_ready: true,
         targets: Vec::new(),
+        departures: Vec::new(),
     }
 }
 
--- a/tests/integration/target_lives.rs
+++ b/tests/integration/target_lives.rs
@@ -9,6 +9,7 @@
 use wisteriaturn::config::validate::Rejection;
 use wisteriaturn::gate::announce::{AnnounceBook, LIFE_LIMIT, TargetStatement};
 use wisteriaturn::ids::{ConfigVersion, Incarnation, InstanceId, Percent, Sequence, SlotCount};
+use wisteriaturn::member::record::DEPARTURE_LIMIT;
 
 fn instance(name: &str) -> InstanceId {
     name.parse().expect("a name")
@@ -20,6 +21,7 @@
         incarnation: Incarnation(born),
         sequence: Sequence(sequence),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
+        is_draining: false,
     }
 }
 
@@ -52,6 +54,51 @@
     assert!(book.note(statement("a", 11, 1, 80)));
 }
 
+#[test]
+fn a_restarted_node_is_told_who_left() {
+    let mut before = AnnounceBook::new();
+    let draining = TargetStatement {
+        is_draining: true,
+        ..statement("a", 10, 5, 80)
+    };
+    assert!(before.note(draining));
+    assert!(before.note(statement("b", 20, 1, 81)));
+    assert!(before.leave(&instance("b"), None, Incarnation(100)));
+    assert!(before.note(statement("c", 30, 1, 82)), "c does not leave");
+
+    let mut after = AnnounceBook::new();
+    assert!(after.restore(&before.departures()));
+    assert!(!after.note(statement("a", 10, 4, 80)), "late words");
+    assert!(after.is_departing(&instance("a"), Incarnation(10)));
+    assert!(!after.note(statement("b", 20, 2, 81)), "the life has ended");
+    assert!(
+        !after.note(statement("d", 19, 0, 81)),
+        "an earlier life at b's address"
+    );
+    assert!(after.note(statement("c", 30, 0, 82)), "c was not told of");
+    assert!(!after.restore(&before.departures()), "nothing of it is new");
+    assert!(after.note(statement("a", 10, 6, 80)), "a returned to work");
+    assert!(!after.is_departing(&instance("a"), Incarnation(10)));
+    assert!(after.note(statement("b", 21, 0, 81)), "b began a new life");
+}
+
+#[test]
+fn a_member_record_names_the_latest_departures_only() {
+    let mut book = AnnounceBook::new();
+    for born in 1..=9 {
+        let name = format!("t-{born}");
+        assert!(book.note(statement(&name, born, 0, 80)));
+        assert!(book.leave(&instance(&name), None, Incarnation(100)));
+    }
+    let born: Vec<u64> = book
+        .departures()
+        .iter()
+        .map(|departure| departure.incarnation.0)
+        .collect();
+    assert_eq!(born.len(), DEPARTURE_LIMIT);
+    assert_eq!(born, [9, 8, 7, 6]);
+}
+
 #[test]
 fn a_leave_that_comes_before_the_announcements_binds_as_well() {
     // The node was restarted: it hears first that the target leaves, and then
--- a/wisteriaturnd/src/control/start.rs
+++ b/wisteriaturnd/src/control/start.rs
@@ -17,6 +17,7 @@
 
 use crate::control::documents;
 use crate::control::follow;
+use crate::gate::targets;
 use crate::mesh::directory;
 use crate::mesh::news;
 use crate::mesh::peer_client;
@@ -167,6 +168,7 @@
         is_ready,
         seen_version,
         seen_incarnation,
+        departures,
     }) = answer
     else {
         return;
@@ -181,6 +183,7 @@
         report.newest_peer = Some(peer);
     }
     peer_client::merge_records(node, records);
+    targets::restore(node, &departures).await;
 }
 
 /// Peers may remember an earlier life with a clock that was ahead.
--- a/wisteriaturnd/src/gate/targets.rs
+++ b/wisteriaturnd/src/gate/targets.rs
@@ -14,7 +14,7 @@
 use wisteriaturn::gate::announce::TargetStatement;
 use wisteriaturn::gate::slots::SlotGate;
 use wisteriaturn::ids::{Incarnation, InstanceId, Sequence, ServiceName, SlotCount};
-use wisteriaturn::member::record::{TARGET_LIMIT, TargetRecord, TargetState};
+use wisteriaturn::member::record::{TARGET_LIMIT, TargetDeparture, TargetRecord, TargetState};
 
 use crate::mesh::news;
 use crate::node::{NodeHandle, NodeStage, NodeState};
@@ -53,6 +53,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
             address: self.address,
+            is_draining: self.draining,
         })
     }
 }
@@ -291,6 +292,7 @@
 ) -> bool {
     let now = Incarnation(node.clock.wall_millis());
     if !lock(&node.announces).leave(instance, incarnation, now) {
+        publish(node).await;
         return false;
     }
     let held = node
@@ -300,8 +302,30 @@
         .find(|(_, target)| target.instance.as_ref() == Some(instance));
     match held {
         Some((service, _)) => withdraw(node, &service).await,
-        None => false,
+        None => {
+            publish(node).await;
+            false
+        }
+    }
+}
+
+/// Takes back what peers remember of targets that said to an earlier life of
+/// this node that they leave. One that was announced again since, by a late
+/// message, is withdrawn.
+pub async fn restore(node: &NodeHandle, departures: &[TargetDeparture]) {
+    if !lock(&node.announces).restore(departures) {
+        return;
     }
+    log::info!(event = "departures-restored", known = departures.len(); "place");
+    for (service, target) in node.targets.all() {
+        let is_departing = target.instance.as_ref().is_some_and(|instance| {
+            lock(&node.announces).is_departing(instance, target.incarnation)
+        });
+        if is_departing {
+            withdraw(node, &service).await;
+        }
+    }
+    publish(node).await;
 }
 
 /// Makes every gate refuse new calls and tells the others.
@@ -312,17 +336,21 @@
     publish(node).await;
 }
 
-/// Puts the targets into this node's member record when they changed, and
-/// spreads it as urgent news.
+/// Puts the targets and the ends of their lives into this node's member record
+/// when they changed, and spreads it as urgent news.
 pub async fn publish(node: &NodeHandle) {
     let is_leaving = node.current_stage() >= NodeStage::Draining;
     let targets = node.targets.records(is_leaving);
+    let departures = lock(&node.announces).departures();
     let record = {
         let mut table = lock(&node.table);
-        if table.own_targets() == targets {
+        if table.own().targets == targets && table.own().departures == departures {
             return;
         }
-        table.update_own(node.clock.now(), |own| own.targets = targets)
+        table.update_own(node.clock.now(), |own| {
+            own.targets = targets;
+            own.departures = departures;
+        })
     };
     for target in &record.targets {
         log::info!(
--- a/wisteriaturnd/src/mesh/peer_server.rs
+++ b/wisteriaturnd/src/mesh/peer_server.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Semaphore;
 use tokio_util::codec::Framed;
 use wisteriaturn::clock::lock;
-use wisteriaturn::ids::{ConfigVersion, DataCentre, Incarnation, NodeAddress};
+use wisteriaturn::ids::{ConfigVersion, DataCentre, NodeAddress};
 use wisteriaturn::member::record::MemberRecord;
 use wisteriaturn::member::rumor::Rumor;
 use wisteriaturn::peer::message::{
@@ -153,14 +153,10 @@
     digests: &BTreeMap<DataCentre, u64>,
 ) -> PeerAnswer {
     let joiner = record.address;
-    let (seen_version, seen_incarnation) = {
-        let table = lock(&node.table);
-        let seen = table.get(joiner);
-        (
-            seen.map_or(ConfigVersion(0), |entry| entry.held),
-            seen.map_or(Incarnation(0), |entry| entry.record.incarnation),
-        )
-    };
+    let (seen_version, seen_incarnation, departures) = lock(&node.table)
+        .get(joiner)
+        .map(|seen| (seen.held, seen.record.incarnation, seen.departures.clone()))
+        .unwrap_or_default();
     // A restarted node with a lower incarnation joins again with a higher one.
     // The record is taken before digests are compared, or the joiner's own data
     // centre would differ by the joiner itself.
@@ -175,6 +171,7 @@
         is_ready: node.current_stage() >= NodeStage::Ready,
         seen_version,
         seen_incarnation,
+        departures,
     }
 }
 
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -266,6 +266,7 @@
             hop: settings.hop,
             is_ready: false,
             targets: Vec::new(),
+            departures: Vec::new(),
         };
         let place = NodePlace {
             region: settings.region.clone(),
