config: read the source when a version that was heard of does not come

Cause: a member that hears its reader's signs pulls new versions from it and reads nothing itself. While one pull hung (up to 5 s), no other was started, and a reader that is heard but not reached kept its member from the source for as long as its signs came. Change: a pull keeps others from starting for 500 ms only, and a version that is overdue makes a member read for itself.

--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod directory;
 pub mod probe;
+pub mod pull;
 pub mod record;
 pub mod relay;
 pub mod rumor;
--- a/tests/integration/document_rules.rs
+++ b/tests/integration/document_rules.rs
@@ -11,6 +11,7 @@
 use wisteriaturn::ids::{
     ConfigVersion, DataCentre, Incarnation, NodeAddress, Percent, Sequence, SlotCount,
 };
+use wisteriaturn::member::pull::{PULL_PATIENCE, PullMark};
 use wisteriaturn::member::record::{MemberRecord, MemberState};
 use wisteriaturn::member::source::{CELL_SIZE, cell_of, reader_of, readers};
 use wisteriaturn::member::table::MemberTable;
@@ -145,3 +146,19 @@
     table.set_state(address(2), MemberState::Suspect, now);
     assert_eq!(reader_of(&table, &place, address(1)), None);
 }
+
+#[test]
+fn a_pull_that_hangs_keeps_no_other_from_starting() {
+    let start = Instant::now();
+    let mut mark = PullMark::default();
+    let first = mark.begin(start).expect("nothing is under way");
+    assert_eq!(mark.begin(start + PULL_PATIENCE / 2), None);
+    let second = mark
+        .begin(start + PULL_PATIENCE)
+        .expect("the first one hangs");
+    // The first ends late, which says nothing about the second.
+    mark.end(first);
+    assert_eq!(mark.begin(start + PULL_PATIENCE), None);
+    mark.end(second);
+    assert!(mark.begin(start + PULL_PATIENCE).is_some());
+}
--- a/wisteriaturnd/src/control/documents.rs
+++ b/wisteriaturnd/src/control/documents.rs
@@ -87,8 +87,12 @@
 impl SourceReader {
     /// Tells whether this node reads for others, or has nobody to read for it.
     fn has_to_read(&mut self, node: &NodeHandle) -> bool {
-        let is_reading =
-            !node.was_ready.load(Ordering::Acquire) || is_reader(node) || !hears_reader(node);
+        // A reader may be heard and not be reached: its link loses what is long,
+        // or lets only datagrams through.
+        let is_reading = !node.was_ready.load(Ordering::Acquire)
+            || is_reader(node)
+            || !hears_reader(node)
+            || node.is_version_overdue();
         if node.is_reading.swap(is_reading, Ordering::AcqRel) != is_reading {
             log::info!(event = "source-reading", chosen = is_reading; "place");
             // The own position is old after a time without reading.
@@ -201,6 +205,7 @@
 pub fn note_sign(node: &NodeHandle, from: SocketAddr, version: ConfigVersion) {
     *lock(&node.reader_heard) = Some(node.clock.now());
     if version > lock(&node.store).version() {
+        node.note_awaited(version);
         peer_client::spawn_pull(node, from);
     }
 }
--- a/wisteriaturnd/src/mesh/peer_client.rs
+++ b/wisteriaturnd/src/mesh/peer_client.rs
@@ -115,17 +115,17 @@
         .await
 }
 
-/// Pulls the configuration from a peer unless a pull is under way.
+/// Pulls the configuration from a peer unless a pull has just begun.
 pub fn spawn_pull(node: &NodeHandle, peer: NodeAddress) {
-    if node.is_pulling.swap(true, Ordering::AcqRel) {
+    let Some(began) = lock(&node.pulling).begin(node.clock.now()) else {
         return;
-    }
+    };
     let node = node.clone();
     tokio::spawn(async move {
         if let Err(error) = pull(&node, peer).await {
             log::debug!(event = "pull-failed", peer:% = peer, error:% = error; "config");
         }
-        node.is_pulling.store(false, Ordering::Release);
+        lock(&node.pulling).end(began);
     });
 }
 
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -24,6 +24,7 @@
 };
 use wisteriaturn::log_port::LogPort;
 use wisteriaturn::member::directory::DirectoryPort;
+use wisteriaturn::member::pull::PullMark;
 use wisteriaturn::member::record::{MemberRecord, MemberState};
 use wisteriaturn::member::relay::relays;
 use wisteriaturn::member::rumor::RumorQueue;
@@ -142,8 +143,8 @@
     pub reader_heard: Mutex<Option<Instant>>,
     /// Version that this node heard of and does not hold, and since when.
     pub awaited: Mutex<Option<(ConfigVersion, Instant)>>,
-    /// Whether a pull of the configuration is under way.
-    pub is_pulling: AtomicBool,
+    /// The pull of the configuration that is under way.
+    pub pulling: Mutex<PullMark>,
     /// Whether a comparison of members is under way.
     pub is_comparing: AtomicBool,
     /// Number of losses of a target at this gate.
@@ -314,7 +315,7 @@
             source_answered: Mutex::default(),
             reader_heard: Mutex::default(),
             awaited: Mutex::default(),
-            is_pulling: AtomicBool::new(false),
+            pulling: Mutex::default(),
             is_comparing: AtomicBool::new(false),
             losses: AtomicU64::new(0),
             budgets: Mutex::default(),
@@ -438,20 +439,29 @@
         if self.documents.is_none() {
             return true;
         }
-        let now = self.clock.now();
+        self.note_awaited(version);
+        self.is_version_overdue()
+    }
+
+    /// Notes that a peer holds a version that this node does not.
+    pub fn note_awaited(&self, version: ConfigVersion) {
         let held = lock(&self.store).version();
         let mut awaited = lock(&self.awaited);
-        match *awaited {
-            Some((first, since)) if first > held => {
-                now.saturating_duration_since(since) >= OVERDUE_TIME
-            }
-            Some(_) | None => {
-                *awaited = Some((version, now));
-                false
-            }
+        if awaited.is_none_or(|(first, _)| first <= held) {
+            *awaited = Some((version, self.clock.now()));
         }
     }
 
+    /// Tells whether this node has heard of a version for longer than getting it
+    /// takes, and still does not hold it.
+    pub fn is_version_overdue(&self) -> bool {
+        let now = self.clock.now();
+        let held = lock(&self.store).version();
+        lock(&self.awaited).is_some_and(|(first, since)| {
+            first > held && now.saturating_duration_since(since) >= OVERDUE_TIME
+        })
+    }
+
     /// Returns the retry budget of a service.
     pub fn budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
         let mut budgets = lock(&self.budgets);
