member: give roles that send much to members with wide links

Change: a member's record says what its link carries; readers and relays come from the widest half. A sign carries the position in the source, so whoever takes over reads on.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -12,7 +12,8 @@
 use wisteriaturn::config::view::{ConfigView, ServingView};
 use wisteriaturn::gate::claim::{ClaimBatch, ClaimFold, ClaimHolder, ClaimItem, KEY_LIMIT};
 use wisteriaturn::ids::{
-    CallId, ChangeId, Incarnation, KeyHash, LifeId, NodeAddress, Sequence, ServiceName, SlotCount,
+    CallId, ChangeId, Incarnation, KeyHash, LifeId, LinkRate, NodeAddress, Sequence, ServiceName,
+    SlotCount,
 };
 use wisteriaturn::member::record::{MemberRecord, MemberState, TargetRecord, TargetState};
 use wisteriaturn::member::relay::relays;
@@ -70,6 +71,7 @@
             .parse()
             .expect("a name"),
         hop: address,
+        link: LinkRate::default(),
         is_ready: true,
         targets: vec![TargetRecord {
             service: service_name(number % SERVICES),
--- a/src/config/view.rs
+++ b/src/config/view.rs
@@ -19,7 +19,9 @@
 };
 use crate::config::validate::{ResourceMap, normal_path};
 use crate::error::ViewError;
-use crate::ids::{ConfigVersion, DataCentre, Incarnation, NodeAddress, RegionName, ServiceName};
+use crate::ids::{
+    ConfigVersion, DataCentre, Incarnation, LinkRate, NodeAddress, RegionName, ServiceName,
+};
 use crate::invariant::{Rule, check};
 use crate::member::record::{MemberRecord, MemberState, TargetRecord, TargetState};
 
@@ -204,6 +206,8 @@
     pub data_centre: DataCentre,
     /// Calls that the target runs at once.
     pub slots: u16,
+    /// What the link of its VM carries.
+    pub link: LinkRate,
     /// When this node first saw the target serve.
     pub since: Instant,
     /// Whether peers suspect the node of being dead.
@@ -228,6 +232,7 @@
         region: member.region.clone(),
         data_centre: member.data_centre.clone(),
         slots: target.slots.min(spec.slot_bound()).0,
+        link: member.link,
         since,
         is_suspect: member.state == MemberState::Suspect,
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -41,6 +41,8 @@
     Percent(u8);
     /// The rank of a call among those that wait; 0 is served first.
     CallPriority(u8);
+    /// What a VM's link carries, in kbit/s; 0 when it is not known.
+    LinkRate(u32);
 }
 
 hex_type! {
--- a/src/member/record.rs
+++ b/src/member/record.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::ids::{
-    DataCentre, Incarnation, InstanceId, NodeAddress, RegionName, Sequence, ServiceName, SlotCount,
+    DataCentre, Incarnation, InstanceId, LinkRate, NodeAddress, RegionName, Sequence, ServiceName,
+    SlotCount,
 };
 
 /// Most targets that one node vouches for.
@@ -80,6 +81,8 @@
         pub data_centre: DataCentre,
         /// Where it takes calls from other nodes.
         pub hop: SocketAddr,
+        /// What the link of its VM carries.
+        pub link: LinkRate,
         /// Whether its view is current, so that others may start from it.
         pub is_ready: bool,
         /// Targets that it vouches for.
--- a/src/member/relay.rs
+++ b/src/member/relay.rs
@@ -5,7 +5,7 @@
 //! time and breaks no promise, so nothing has to be agreed on.
 
 use crate::ids::{DataCentre, NodeAddress};
-use crate::member::record::MemberState;
+use crate::member::record::{MemberRecord, MemberState};
 use crate::member::table::MemberTable;
 
 /// Relays in each data centre.
@@ -28,14 +28,32 @@
         .collect()
 }
 
+/// Part of the widest link in a data centre that a member's link needs to count
+/// as wide: VMs of one kind differ little, and kinds differ by a factor of ten.
+const WIDE_PART: u32 = 2;
+
+/// Returns the first `count` of `members` by their weight for a role that sends
+/// much, those with wide links first. A role that reads or hands on whole
+/// configurations would fill a thin link and hold up the calls on it.
+pub fn choose_wide(role: &str, members: &[&MemberRecord], count: usize) -> Vec<NodeAddress> {
+    let widest = members.iter().map(|member| member.link.0).max();
+    let is_wide = |member: &&MemberRecord| member.link.0 >= widest.unwrap_or_default() / WIDE_PART;
+    let (wide, thin): (Vec<_>, Vec<_>) = members.iter().copied().partition(is_wide);
+    let mut chosen = choose_members(role, wide.iter().map(|member| member.address), count);
+    let missing = count - chosen.len();
+    let rest = choose_members(role, thin.iter().map(|member| member.address), missing);
+    chosen.extend(rest);
+    chosen
+}
+
 /// Returns the relays of a data centre. A suspect is passed over at once, well
 /// before it is declared dead, since an extra relay does no harm.
 pub fn relays(table: &MemberTable, data_centre: &DataCentre) -> Vec<NodeAddress> {
-    let members = table
+    let members: Vec<_> = table
         .live_in(data_centre)
         .filter(|record| record.state == MemberState::Alive)
-        .map(|record| record.address);
-    choose_members("relay", members, RELAY_COUNT)
+        .collect();
+    choose_wide("relay", &members, RELAY_COUNT)
 }
 
 /// Returns the one member of the whole mesh that writes snapshots.
--- a/src/member/source.rs
+++ b/src/member/source.rs
@@ -10,7 +10,7 @@
 
 use crate::ids::{DataCentre, NodeAddress};
 use crate::member::record::MemberState;
-use crate::member::relay::choose_members;
+use crate::member::relay::{choose_members, choose_wide};
 use crate::member::table::MemberTable;
 
 /// Most members that one reader reads for. A reader says that it lives 2.5 times
@@ -27,13 +27,12 @@
 
 /// Returns the readers of a data centre.
 pub fn readers(table: &MemberTable, data_centre: &DataCentre) -> Vec<NodeAddress> {
-    let members: Vec<NodeAddress> = table
+    let members: Vec<_> = table
         .live_in(data_centre)
         .filter(|record| record.state == MemberState::Alive && record.is_ready)
-        .map(|record| record.address)
         .collect();
     let count = members.len().div_ceil(CELL_SIZE);
-    choose_members("source", members, count)
+    choose_wide("source", &members, count)
 }
 
 /// Returns the member that reads for `member`, if any is ready.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -14,7 +14,7 @@
 use crate::gate::claim::{ClaimDemand, ClaimVerdict};
 use crate::gate::ledger::CallEnd;
 use crate::gate::outcome::RefusalReason;
-use crate::ids::{CallId, ConfigVersion, DataCentre, Incarnation, LifeId, NodeAddress};
+use crate::ids::{CallId, ConfigVersion, DataCentre, Incarnation, LifeId, NodeAddress, Offset};
 use crate::member::record::{MemberRecord, TargetDeparture};
 use crate::member::rumor::Rumor;
 
@@ -91,6 +91,9 @@
         SourceAlive {
             /// Version in force at the sender.
             version: ConfigVersion,
+            /// Where the sender goes on reading: all before it is in force, so
+            /// that a receiver which has to read itself reads nothing twice.
+            position: Offset,
         },
     }
 
--- a/testing/src/experiment/scale.rs
+++ b/testing/src/experiment/scale.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use tokio::net::{TcpStream, UdpSocket};
 use tokio_util::codec::Framed;
-use wisteriaturn::ids::{Incarnation, Sequence, SlotCount};
+use wisteriaturn::ids::{Incarnation, LinkRate, Sequence, SlotCount};
 use wisteriaturn::member::record::{MemberRecord, MemberState, TargetRecord, TargetState};
 use wisteriaturn::member::rumor::Rumor;
 use wisteriaturn::peer::auth::MeshKeys;
@@ -139,6 +139,7 @@
         region: region.parse().expect("a name"),
         data_centre: place.parse().expect("a name"),
         hop: address,
+        link: LinkRate::default(),
         is_ready: true,
         targets: vec![TargetRecord {
             service: format!("service-{}", number % 170).parse().expect("a name"),
--- a/tests/integration/document_rules.rs
+++ b/tests/integration/document_rules.rs
@@ -9,10 +9,11 @@
 use wisteriaturn::config::fold::ConfigState;
 use wisteriaturn::config::resource::{Resource, RouteSpec, ServiceSpec};
 use wisteriaturn::ids::{
-    ConfigVersion, DataCentre, Incarnation, NodeAddress, Percent, Sequence, SlotCount,
+    ConfigVersion, DataCentre, Incarnation, LinkRate, NodeAddress, Percent, Sequence, SlotCount,
 };
 use wisteriaturn::member::pull::{PULL_PATIENCE, PullMark};
 use wisteriaturn::member::record::{MemberRecord, MemberState};
+use wisteriaturn::member::relay::{RELAY_COUNT, relays};
 use wisteriaturn::member::source::{CELL_SIZE, cell_of, reader_of, readers};
 use wisteriaturn::member::table::MemberTable;
 
@@ -97,6 +98,7 @@
         region: "r1".parse().expect("a name"),
         data_centre: "r1-a".parse().expect("a name"),
         hop: address(host),
+        link: LinkRate::default(),
         is_ready,
         targets: Vec::new(),
         departures: Vec::new(),
@@ -162,3 +164,43 @@
     mark.end(second);
     assert!(mark.begin(start + PULL_PATIENCE).is_some());
 }
+
+#[yare::parameterized(
+    one_kind_of_vm = { &[1_000, 1_000, 1_000] },
+    two_wide_links = { &[7, 140, 7, 140, 7] },
+    nobody_says = { &[0, 0, 0] },
+)]
+fn who_reads_and_relays_has_a_wide_link(links: &[u32]) {
+    let now = Instant::now();
+    let linked = |host: usize| MemberRecord {
+        link: LinkRate(links[host]),
+        ..member(host as u16 + 1, true)
+    };
+    let mut table = MemberTable::new(linked(0), now);
+    for host in 1..links.len() {
+        table.merge(linked(host), now);
+    }
+    let place = "r1-a".parse().expect("a name");
+    let widest = links.iter().max().copied().unwrap_or_default();
+    let link_of = |node: &NodeAddress| table.get(*node).map(|entry| entry.record.link.0);
+    let chosen = [readers(&table, &place), relays(&table, &place)].concat();
+    assert_eq!(chosen.len(), 3, "one reader and two relays");
+    for node in &chosen {
+        assert_eq!(link_of(node), Some(widest), "{node}");
+    }
+}
+
+#[test]
+fn a_role_for_two_goes_to_the_one_wide_link_and_a_thin_one() {
+    let now = Instant::now();
+    let linked = |host: u16, link: u32| MemberRecord {
+        link: LinkRate(link),
+        ..member(host, true)
+    };
+    let mut table = MemberTable::new(linked(1, 7), now);
+    table.merge(linked(2, 140), now);
+    table.merge(linked(3, 7), now);
+    let chosen = relays(&table, &"r1-a".parse().expect("a name"));
+    assert_eq!(chosen.len(), RELAY_COUNT);
+    assert_eq!(chosen[0], address(2));
+}
--- a/tests/integration/load_rules.rs
+++ b/tests/integration/load_rules.rs
@@ -9,7 +9,7 @@
 use wisteriaturn::config::view::TargetEntry;
 use wisteriaturn::gate::outcome::RefusalReason;
 use wisteriaturn::gate::slots::{QueueRank, SlotDemand, SlotGate};
-use wisteriaturn::ids::{CallPriority, Incarnation, NodeAddress, RouteName};
+use wisteriaturn::ids::{CallPriority, Incarnation, LinkRate, NodeAddress, RouteName};
 use wisteriaturn::retry::budget::{RetryBudget, RetryLimit};
 use wisteriaturn::route::choose::NodePlace;
 use wisteriaturn::route::load::{AttemptResult, ServiceLoad};
@@ -158,6 +158,7 @@
         region: region.parse().expect("a name"),
         data_centre: data_centre.parse().expect("a name"),
         slots: 6,
+        link: LinkRate::default(),
         since,
         is_suspect: false,
     }
--- a/tests/integration/member_table.rs
+++ b/tests/integration/member_table.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use wisteriaturn::ids::{ConfigVersion, Incarnation, NodeAddress, Sequence};
+use wisteriaturn::ids::{ConfigVersion, Incarnation, LinkRate, NodeAddress, Sequence};
 use wisteriaturn::member::probe::ProbeRound;
 use wisteriaturn::member::record::{MemberRecord, MemberState};
 use wisteriaturn::member::relay::{keeper, relays};
@@ -24,6 +24,7 @@
         region: "r1".parse().expect("a name"),
         data_centre: "r1-a".parse().expect("a name"),
         hop: address(host),
+        link: LinkRate::default(),
         is_ready: true,
         targets: Vec::new(),
         departures: Vec::new(),
--- a/tests/integration/route_rules.rs
+++ b/tests/integration/route_rules.rs
@@ -7,7 +7,7 @@
 use wisteriaturn::clock::{Clock, ManualClock, SharedClock};
 use wisteriaturn::config::resource::PolicySpec;
 use wisteriaturn::config::view::TargetEntry;
-use wisteriaturn::ids::{Incarnation, NodeAddress, Percent};
+use wisteriaturn::ids::{Incarnation, LinkRate, NodeAddress, Percent};
 use wisteriaturn::retry::budget::RetryBudget;
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::route::choose::{CandidateVerdict, NodePlace, choose_target, warm_share};
@@ -37,6 +37,7 @@
         region: region.parse().expect("a name"),
         data_centre: data_centre.parse().expect("a name"),
         slots: 4,
+        link: LinkRate::default(),
         since: Instant::now(),
         is_suspect: false,
     }
--- a/wisteriaturnd/src/control/documents.rs
+++ b/wisteriaturnd/src/control/documents.rs
@@ -95,8 +95,8 @@
             || node.is_version_overdue();
         if node.is_reading.swap(is_reading, Ordering::AcqRel) != is_reading {
             log::info!(event = "source-reading", chosen = is_reading; "place");
-            // The own position is old after a time without reading.
-            self.position = None;
+            // What the reader told of its position saves reading all anew.
+            self.position = known_position(node);
         }
         is_reading
     }
@@ -114,6 +114,8 @@
             adopt(node, document);
             node.source_version.send_replace(Some(version));
         }
+        let version = lock(&node.store).version();
+        *lock(&node.source_mark) = self.position.map(|position| (version, position));
     }
 
     async fn pause(&mut self, error: &LogError) {
@@ -163,6 +165,14 @@
     }
 }
 
+/// Returns where to go on reading, if all that was written before is held.
+fn known_position(node: &NodeHandle) -> Option<Offset> {
+    let held = lock(&node.store).version();
+    let mark = *lock(&node.source_mark);
+    mark.filter(|(version, _)| held >= *version)
+        .map(|(_, position)| position)
+}
+
 fn is_reader(node: &NodeHandle) -> bool {
     let table = lock(&node.table);
     readers(&table, &node.settings.data_centre).contains(&node.address())
@@ -194,16 +204,25 @@
         cell_of(&table, &node.settings.data_centre, node.address())
     };
     let version = lock(&node.store).version();
+    let Some(position) = known_position(node) else {
+        return;
+    };
     for member in cell {
-        let sign = Datagram::SourceAlive { version };
+        let sign = Datagram::SourceAlive { version, position };
         gossip::send(node, member, &sign, TrafficKind::Push).await;
     }
 }
 
 /// Takes a sign of life of the member that reads for this node, and pulls what
 /// it has newer.
-pub fn note_sign(node: &NodeHandle, from: SocketAddr, version: ConfigVersion) {
+pub fn note_sign(node: &NodeHandle, from: SocketAddr, version: ConfigVersion, position: Offset) {
     *lock(&node.reader_heard) = Some(node.clock.now());
+    {
+        let mut mark = lock(&node.source_mark);
+        if mark.is_none_or(|(held, at)| (held, at) <= (version, position)) {
+            *mark = Some((version, position));
+        }
+    }
     if version > lock(&node.store).version() {
         node.note_awaited(version);
         peer_client::spawn_pull(node, from);
--- a/wisteriaturnd/src/mesh/gossip.rs
+++ b/wisteriaturnd/src/mesh/gossip.rs
@@ -163,7 +163,9 @@
         Datagram::Record { version, record } => {
             receive_record(node, from, version, record).await;
         }
-        Datagram::SourceAlive { version } => documents::note_sign(node, from, version),
+        Datagram::SourceAlive { version, position } => {
+            documents::note_sign(node, from, version, position);
+        }
         Datagram::News { rumors } => news::learn_all(node, from, rumors, true).await,
     }
 }
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -20,7 +20,7 @@
 use wisteriaturn::gate::ledger::CallLedger;
 use wisteriaturn::gate::quarantine::SuspectTable;
 use wisteriaturn::ids::{
-    ConfigVersion, DataCentre, Incarnation, LifeId, NodeAddress, Sequence, ServiceName,
+    ConfigVersion, DataCentre, Incarnation, LifeId, NodeAddress, Offset, Sequence, ServiceName,
 };
 use wisteriaturn::log_port::LogPort;
 use wisteriaturn::member::directory::DirectoryPort;
@@ -139,6 +139,9 @@
     pub is_reading: AtomicBool,
     /// When the source of documents last answered this node.
     pub source_answered: Mutex<Option<Instant>>,
+    /// How far the source was read, by this node or its reader: the version that
+    /// was in force then, and where reading goes on.
+    pub source_mark: Mutex<Option<(ConfigVersion, Offset)>>,
     /// When the member that reads the source for this node last said so.
     pub reader_heard: Mutex<Option<Instant>>,
     /// Version that this node heard of and does not hold, and since when.
@@ -265,6 +268,7 @@
             region: settings.region.clone(),
             data_centre: settings.data_centre.clone(),
             hop: settings.hop,
+            link: settings.link,
             is_ready: false,
             targets: Vec::new(),
             departures: Vec::new(),
@@ -313,6 +317,7 @@
             was_ready: AtomicBool::new(false),
             is_reading: AtomicBool::new(false),
             source_answered: Mutex::default(),
+            source_mark: Mutex::default(),
             reader_heard: Mutex::default(),
             awaited: Mutex::default(),
             pulling: Mutex::default(),
--- a/wisteriaturnd/src/settings/mod.rs
+++ b/wisteriaturnd/src/settings/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use log::LevelFilter;
-use wisteriaturn::ids::{DataCentre, RegionName, ServiceName};
+use wisteriaturn::ids::{DataCentre, LinkRate, RegionName, ServiceName};
 use wisteriaturn::peer::auth::MeshKeys;
 use wisteriaturn::retry::budget::RetryLimit;
 
@@ -31,6 +31,8 @@
     pub region: RegionName,
     /// Data centre of the VM.
     pub data_centre: DataCentre,
+    /// What the VM's link carries.
+    pub link: LinkRate,
     /// Where callers connect.
     pub ingress: SocketAddr,
     /// Where operators, targets and metrics readers connect.
@@ -133,6 +135,7 @@
         let settings = Self {
             region: parsed("region", &raw.region, "a name")?,
             data_centre: parsed("data_centre", &raw.data_centre, "a name")?,
+            link: link_rate(raw.link_mbps)?,
             ingress: address("listen.ingress", &raw.listen.ingress)?,
             admin: address("listen.admin", &raw.listen.admin)?,
             hop: address("listen.hop", &raw.listen.hop)?,
@@ -333,6 +336,19 @@
     Ok(value)
 }
 
+/// Widest link that a setting may name, in Mbit/s.
+const WIDEST_LINK: f64 = 1e6;
+
+fn link_rate(mbps: Option<f64>) -> Result<LinkRate, SettingsError> {
+    let Some(mbps) = mbps else {
+        return Ok(LinkRate::default());
+    };
+    if !(0.001..=WIDEST_LINK).contains(&mbps) {
+        return Err(not_allowed("link_mbps", mbps, "0.001 to 1000000"));
+    }
+    Ok(LinkRate((mbps * 1_000.0).round() as u32))
+}
+
 fn retry_limit(raw: &RawRetry) -> Result<RetryLimit, SettingsError> {
     if !(0.0..=1.0).contains(&raw.ratio) {
         return Err(not_allowed("retry.ratio", raw.ratio, "0 to 1"));
--- a/wisteriaturnd/src/settings/raw.rs
+++ b/wisteriaturnd/src/settings/raw.rs
@@ -10,6 +10,9 @@
     pub region: String,
     /// Data centre of the VM.
     pub data_centre: String,
+    /// What the VM's link carries, in Mbit/s.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// Addresses that the node listens on.
     pub listen: RawListen,
     /// Peer addresses of some other nodes.
