gate, member: serve during the lame duck, and send callers away when cut off

(2) a node without a path to the others kept its callers and let them wait for connections. Change: during the lame duck the gate takes what is expected to end before it closes. A node that has heard no other for 2.5 s, of three or more, is not ready and refuses what its own target cannot serve. Tests: process_stop::a_gate_goes_on_while... fails with the code before (not-run: draining); node::a_node_that_hears_nobody..., member_table::silence_of_many_is_the_own_link.

--- a/src/gate/slots.rs
+++ b/src/gate/slots.rs
@@ -39,7 +39,7 @@
 /// Multiple of the expected run that a call must have left to be likely in time.
 /// With one, half of those that just get in are late, and under a standing
 /// overload nearly all calls just get in.
-const LIKELY_RUN: f64 = 1.3;
+pub const LIKELY_RUN: f64 = 1.3;
 
 /// Share of the running mean that a new sample gets is 1 / this.
 const MEAN_WEIGHT: u32 = 8;
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -11,6 +11,7 @@
 //! See [docs/DESIGN.md](../../docs/DESIGN.md#4-membership).
 
 pub mod directory;
+pub mod isolation;
 pub mod probe;
 pub mod pull;
 pub mod record;
--- a/tests/integration/member_table.rs
+++ b/tests/integration/member_table.rs
@@ -5,6 +5,7 @@
 
 use proptest::prelude::*;
 use wisteriaturn::ids::{ConfigVersion, Incarnation, LinkRate, NodeAddress, Sequence};
+use wisteriaturn::member::isolation::{ISOLATION_TIME, LEAST_OTHERS, LinkStanding};
 use wisteriaturn::member::probe::ProbeRound;
 use wisteriaturn::member::record::{MemberRecord, MemberState};
 use wisteriaturn::member::relay::{keeper, relays};
@@ -203,3 +204,19 @@
     assert_eq!(queue.take(700), [Rumor::Member(newer)]);
     assert!(queue.take(1).is_empty());
 }
+
+#[yare::parameterized(
+    just_heard = { 8, Duration::ZERO, false },
+    a_lost_probe = { 8, ISOLATION_TIME / 2, false },
+    cut_off = { 8, ISOLATION_TIME, true },
+    the_least_that_says_something = { LEAST_OTHERS, ISOLATION_TIME, true },
+    a_mesh_of_three = { LEAST_OTHERS - 1, ISOLATION_TIME * 10, false },
+)]
+fn silence_of_many_is_the_own_link(others: usize, silence: Duration, is_isolated: bool) {
+    let start = Instant::now();
+    let mut standing = LinkStanding::new(start);
+    let heard = start + Duration::from_secs(5);
+    standing.note_heard(heard);
+    standing.note_heard(start);
+    assert_eq!(standing.is_isolated(others, heard + silence), is_isolated);
+}
--- a/tests/integration/process_stop.rs
+++ b/tests/integration/process_stop.rs
@@ -267,6 +267,36 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gate_goes_on_while_callers_hear_that_its_node_stops() -> Result<()> {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        nodes: 2,
+        tuning: "lame_duck_ms = 20000".to_owned(),
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster.add_service("portal", json!({})).await?;
+    cluster.start_target(0, "portal", 6)?;
+    for index in 0..2 {
+        cluster.wait_targets(index, "portal", 1).await?;
+    }
+    cluster.node(0).signal("TERM");
+    cluster
+        .wait("the node to be unready", async || {
+            let ready = client::get(cluster.admin(0), "/ready").await;
+            ready.is_ok_and(|reply| reply.status == 503)
+        })
+        .await?;
+    // Nobody else serves, and its target's slots are free.
+    let reply = client::get(cluster.ingress(1), "/portal").await?;
+    assert_eq!(reply.outcome(), "done", "{}", reply.text());
+    let reply = client::get(cluster.ingress(0), "/portal").await?;
+    assert_eq!(reply.outcome(), "done", "{}", reply.text());
+    assert_eq!(reply.header("connection"), "close");
+    cluster.remove_folder();
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_stops_before_it_was_ready_denies_no_route() -> Result<()> {
     let mut cluster = TestCluster::prepare(ClusterPlan {
--- a/wisteriaturnd/src/admin/port.rs
+++ b/wisteriaturnd/src/admin/port.rs
@@ -148,6 +148,9 @@
 
 fn ready(node: &NodeHandle) -> Response<NodeBody> {
     match node.current_stage() {
+        NodeStage::Ready if node.is_isolated() => {
+            text_reply(StatusCode::SERVICE_UNAVAILABLE, "Isolated\n".to_owned())
+        }
         NodeStage::Ready => text_reply(StatusCode::OK, "ready\n".to_owned()),
         stage => text_reply(StatusCode::SERVICE_UNAVAILABLE, format!("{stage:?}\n")),
     }
--- a/wisteriaturnd/src/gate/admit.rs
+++ b/wisteriaturnd/src/gate/admit.rs
@@ -4,13 +4,14 @@
 //! logged with what decided.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use tokio::time::timeout_at;
 use wisteriaturn::clock::lock;
 use wisteriaturn::gate::outcome::RefusalReason;
 use wisteriaturn::gate::quarantine::RequestStanding;
-use wisteriaturn::gate::slots::{QueueRank, SlotDemand, SlotPermit};
+use wisteriaturn::gate::slots::{LIKELY_RUN, QueueRank, SlotDemand, SlotPermit};
 
 use crate::error::LinkError;
 use crate::gate::targets::{self, LocalTarget};
@@ -66,7 +67,10 @@
         NodeStage::Draining | NodeStage::Stopping | NodeStage::Closing => {
             return Err(RefusalReason::Draining);
         }
-        NodeStage::Ready => {}
+        NodeStage::LameDuck if !node.was_ready.load(Ordering::Acquire) => {
+            return Err(RefusalReason::NotReady);
+        }
+        NodeStage::Ready | NodeStage::LameDuck => {}
     }
     let now = node.clock.now();
     let standing = lock(&node.suspects).standing(call.fingerprint, now);
@@ -78,11 +82,16 @@
         .get(&call.service)
         .ok_or(RefusalReason::NoTarget)?;
     let until = call.deadline.at();
+    let run = expected_run(node, call, &target);
+    let closes = *lock(&node.gate_closes);
+    if closes.is_some_and(|closes| now + run.mul_f64(LIKELY_RUN) > closes) {
+        return Err(RefusalReason::Draining);
+    }
     let demand = SlotDemand {
         rank: QueueRank::new(call.class, call.priority),
         aim: call.aim.at(),
         deadline: until,
-        run: expected_run(node, call, &target),
+        run,
         patience: call.patience,
     };
     let acquired = timeout_at(until.into(), target.gate.acquire_for(demand)).await;
--- a/wisteriaturnd/src/http/listener.rs
+++ b/wisteriaturnd/src/http/listener.rs
@@ -121,7 +121,12 @@
         let answering = handle(request);
         async {
             let mut response = answering.await;
-            if node.current_stage() >= NodeStage::Draining {
+            let last_stage = if limits.is_for_callers {
+                NodeStage::LameDuck
+            } else {
+                NodeStage::Draining
+            };
+            if node.current_stage() >= last_stage {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
--- a/wisteriaturnd/src/ingress/placing.rs
+++ b/wisteriaturnd/src/ingress/placing.rs
@@ -1,5 +1,6 @@
 //! The choice of a target for the next attempt of a call, with its log line.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use wisteriaturn::config::view::TargetEntry;
@@ -62,6 +63,14 @@
     } else {
         node.view.load().targets_if_held(service)?
     };
+    let targets = if node.is_isolated() {
+        let own = targets
+            .iter()
+            .filter(|target| target.node == node.address());
+        Arc::new(own.cloned().collect())
+    } else {
+        targets
+    };
     let now = node.clock.now();
     let demand = demand(node, call, now);
     let choice = node.load.with(service, |load| {
--- a/wisteriaturnd/src/lifecycle.rs
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -86,22 +86,31 @@
         Ok(Self { node, connections })
     }
 
-    /// Stops as planned: the gates refuse new calls at once and the others are
-    /// told; calls in flight end; the ingress closes last, since a target may
-    /// need it to end its own calls.
+    /// Stops as planned: callers are told first, and meanwhile the gates go on
+    /// with what can end in time, since their targets' slots would stand empty.
+    /// Then the gates refuse new calls and the others are told; calls in flight
+    /// end; the ingress closes last, since a target may need it to end its own
+    /// calls.
     pub async fn stop(self) {
         let node = &self.node;
         let until = node.clock.now() + node.settings.tuning.drain_timeout;
         log::info!(event = "stopping", calls_at_gate = node.targets.in_flight(); "node");
-        node.stage.send_replace(NodeStage::Draining);
         node.metrics.ready.set(0);
-        targets::drain_all(node).await;
         // Callers need a moment to hear that this node is not ready.
-        let lame_duck = tokio::time::sleep(node.settings.tuning.lame_duck);
+        let lame_duck = node.settings.tuning.lame_duck;
+        let warned = tokio::time::sleep(lame_duck);
+        let gate_time = lame_duck.saturating_sub(LEAVE_NOTICE);
+        if !gate_time.is_zero() {
+            *lock(&node.gate_closes) = Some(node.clock.now() + gate_time);
+            node.stage.send_replace(NodeStage::LameDuck);
+            tokio::time::sleep(gate_time).await;
+        }
+        node.stage.send_replace(NodeStage::Draining);
+        targets::drain_all(node).await;
         if timeout_at(until.into(), wait_empty(node)).await.is_err() {
             log::warn!(event = "drain-cut", calls_at_gate = node.targets.in_flight(); "node");
         }
-        lame_duck.await;
+        warned.await;
         node.stage.send_replace(NodeStage::Stopping);
         self.connections.close();
         let is_closed = timeout_at(until.into(), self.connections.wait()).await;
--- a/wisteriaturnd/src/mesh/gossip.rs
+++ b/wisteriaturnd/src/mesh/gossip.rs
@@ -122,6 +122,7 @@
             node.metrics.note_drop("datagram-unauthenticated");
             continue;
         };
+        node.note_heard();
         match decode(message) {
             Ok(datagram) => receive(&node, from, datagram).await,
             Err(_) => node.metrics.note_drop("datagram-malformed"),
--- a/wisteriaturnd/src/mesh/hop.rs
+++ b/wisteriaturnd/src/mesh/hop.rs
@@ -132,7 +132,10 @@
         };
         let (life, is_reused) = (link.life, link.is_reused);
         match timeout_at(until, send_over(node, link, request)).await {
-            Ok(Ok(response)) => return HopResult::Answered(response),
+            Ok(Ok(response)) => {
+                node.note_heard();
+                return HopResult::Answered(response);
+            }
             Ok(Err(ExchangeError::Unsent(unsent))) if is_reused => request = *unsent,
             Ok(Err(ExchangeError::Unsent(_))) => return HopResult::Unsent,
             Ok(Err(ExchangeError::Lost(_))) | Err(_) => return HopResult::Lost(life),
--- a/wisteriaturnd/src/mesh/prober.rs
+++ b/wisteriaturnd/src/mesh/prober.rs
@@ -42,6 +42,7 @@
     mismatches: u32,
     compared: Option<Instant>,
     was_relay: Option<bool>,
+    was_isolated: bool,
 }
 
 /// Probes one member after another for as long as the node runs.
@@ -53,6 +54,7 @@
         mismatches: 0,
         compared: None,
         was_relay: None,
+        was_isolated: false,
     };
     loop {
         let jitter = rand::rng().random_range(0.9..1.1);
@@ -62,6 +64,7 @@
         // After a pause of this process every other node looks late.
         let was_paused = woke.duration_since(slept) > interval * 3;
         note_role(&node, &mut state);
+        note_link(&node, &mut state);
         let target = {
             let table = lock(&node.table);
             state.round.next(&table, &mut rand::rng())
@@ -88,6 +91,19 @@
     }
 }
 
+fn note_link(node: &NodeHandle, state: &mut ProberState) {
+    let is_isolated = node.is_isolated();
+    if is_isolated != state.was_isolated {
+        state.was_isolated = is_isolated;
+        let event = if is_isolated {
+            "others-lost"
+        } else {
+            "others-regained"
+        };
+        log::warn!(event = event; "member");
+    }
+}
+
 async fn probe(node: &NodeHandle, state: &mut ProberState, target: NodeAddress, is_unsure: bool) {
     let wait = node.settings.tuning.probe_timeout;
     if let Some(status) = gossip::ping(node, target, wait).await {
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -24,6 +24,7 @@
 };
 use wisteriaturn::log_port::LogPort;
 use wisteriaturn::member::directory::DirectoryPort;
+use wisteriaturn::member::isolation::LinkStanding;
 use wisteriaturn::member::pull::PullMark;
 use wisteriaturn::member::record::{MemberRecord, MemberState};
 use wisteriaturn::member::relay::relays;
@@ -56,6 +57,9 @@
     Starting,
     /// The node serves.
     Ready,
+    /// Callers hear that the node is about to stop; its ingress and its gate
+    /// still take what can end before they close.
+    LameDuck,
     /// The gate refuses new calls; calls in flight end.
     Draining,
     /// The ingress closes as well.
@@ -150,6 +154,10 @@
     pub pulling: Mutex<PullMark>,
     /// Whether a comparison of members is under way.
     pub is_comparing: AtomicBool,
+    /// When this node last heard another.
+    pub link: Mutex<LinkStanding>,
+    /// When the gate closes, once the node is about to stop.
+    pub gate_closes: Mutex<Option<Instant>>,
     /// Number of losses of a target at this gate.
     pub losses: AtomicU64,
     budgets: Mutex<BTreeMap<ServiceName, Arc<RetryBudget>>>,
@@ -322,6 +330,8 @@
             awaited: Mutex::default(),
             pulling: Mutex::default(),
             is_comparing: AtomicBool::new(false),
+            link: Mutex::new(LinkStanding::new(clock.now())),
+            gate_closes: Mutex::default(),
             losses: AtomicU64::new(0),
             budgets: Mutex::default(),
             first_seen: Mutex::default(),
@@ -345,6 +355,22 @@
         *self.stage.borrow()
     }
 
+    /// Notes a sign of life of another node.
+    pub fn note_heard(&self) {
+        lock(&self.link).note_heard(self.clock.now());
+    }
+
+    /// Tells whether this node is cut off from all others.
+    pub fn is_isolated(&self) -> bool {
+        let others = self.live_members().saturating_sub(1);
+        lock(&self.link).is_isolated(others, self.clock.now())
+    }
+
+    /// Tells whether callers should come to this node.
+    pub fn is_serving(&self) -> bool {
+        self.current_stage() == NodeStage::Ready && !self.is_isolated()
+    }
+
     /// Returns what every probe says of this node.
     pub fn status(&self) -> NodeStatus {
         let view = self.view.load();
