--- a/wisteriaturnd/src/control/documents.rs
+++ b/wisteriaturnd/src/control/documents.rs
@@ -59,7 +59,7 @@
         backoff: BACKOFF.0,
         is_lost: false,
     };
-    node.is_reading.store(true, Ordering::Release);
+    node.source.is_reading.store(true, Ordering::Release);
     loop {
         if !reader.has_to_read(&node) {
             tokio::time::sleep(ROLE_CHECK).await;
@@ -73,7 +73,7 @@
             Ok(batch) => {
                 let is_news = batch.newest.is_some();
                 reader.take(&node, batch);
-                *lock(&node.source_answered) = Some(node.clock.now());
+                *lock(&node.source.answered) = Some(node.clock.now());
                 if is_news {
                     give_sign(&node).await;
                     tokio::time::sleep(jittered(GATHER_TIME)).await;
@@ -93,7 +93,7 @@
             || is_reader(node)
             || !hears_reader(node)
             || node.is_version_overdue();
-        if node.is_reading.swap(is_reading, Ordering::AcqRel) != is_reading {
+        if node.source.is_reading.swap(is_reading, Ordering::AcqRel) != is_reading {
             log::info!(event = "source-reading", chosen = is_reading; "place");
             // What the reader told of its position saves reading all anew.
             self.position = known_position(node);
@@ -112,10 +112,10 @@
         if let Some(document) = batch.newest {
             let version = document.version;
             adopt(node, document);
-            node.source_version.send_replace(Some(version));
+            node.source.version.send_replace(Some(version));
         }
         let version = lock(&node.store).version();
-        *lock(&node.source_mark) = self.position.map(|position| (version, position));
+        *lock(&node.source.mark) = self.position.map(|position| (version, position));
     }
 
     async fn pause(&mut self, error: &LogError) {
@@ -168,7 +168,7 @@
 /// Returns where to go on reading, if all that was written before is held.
 fn known_position(node: &NodeHandle) -> Option<Offset> {
     let held = lock(&node.store).version();
-    let mark = *lock(&node.source_mark);
+    let mark = *lock(&node.source.mark);
     mark.filter(|(version, _)| held >= *version)
         .map(|(_, position)| position)
 }
@@ -180,7 +180,7 @@
 
 fn hears_reader(node: &NodeHandle) -> bool {
     let now = node.clock.now();
-    let heard = *lock(&node.reader_heard);
+    let heard = *lock(&node.source.reader_heard);
     heard.is_some_and(|heard| now.saturating_duration_since(heard) < SILENCE_TIME)
 }
 
@@ -194,7 +194,7 @@
 
 async fn give_sign(node: &NodeHandle) {
     let now = node.clock.now();
-    let is_proved = lock(&node.source_answered)
+    let is_proved = lock(&node.source.answered)
         .is_some_and(|when| now.saturating_duration_since(when) < PROOF_TIME);
     if !is_proved || !is_reader(node) {
         return;
@@ -216,9 +216,9 @@
 /// Takes a sign of life of the member that reads for this node, and pulls what
 /// it has newer.
 pub fn note_sign(node: &NodeHandle, from: SocketAddr, version: ConfigVersion, position: Offset) {
-    *lock(&node.reader_heard) = Some(node.clock.now());
+    *lock(&node.source.reader_heard) = Some(node.clock.now());
     {
-        let mut mark = lock(&node.source_mark);
+        let mut mark = lock(&node.source.mark);
         if mark.is_none_or(|(held, at)| (held, at) <= (version, position)) {
             *mark = Some((version, position));
         }
@@ -231,13 +231,13 @@
 
 /// Waits until the source was read or some time has passed.
 pub async fn wait_source(node: &NodeHandle, wait: Duration) {
-    let mut version = node.source_version.subscribe();
+    let mut version = node.source.version.subscribe();
     // The sender lives in the node, so only the time can end this early.
     let _ = tokio::time::timeout(wait, version.wait_for(Option::is_some)).await;
 }
 
 /// Returns whether the source was read and at least `floor` is in force.
 pub fn is_current(node: &NodeHandle, floor: ConfigVersion) -> bool {
-    let has_read = node.source_version.borrow().is_some();
+    let has_read = node.source.version.borrow().is_some();
     has_read && lock(&node.store).version() >= floor
 }
--- a/wisteriaturnd/src/control/mod.rs
+++ b/wisteriaturnd/src/control/mod.rs
@@ -5,5 +5,6 @@
 
 pub mod documents;
 pub mod follow;
+pub mod source;
 pub mod start;
 pub mod store;
--- a/wisteriaturnd/src/control/start.rs
+++ b/wisteriaturnd/src/control/start.rs
@@ -65,7 +65,7 @@
         }
         let jitter = rand::rng().random_range(0.5..1.5);
         let pause = backoff.mul_f64(jitter);
-        if node.documents.is_some() && node.source_version.borrow().is_none() {
+        if node.documents.is_some() && node.source.version.borrow().is_none() {
             documents::wait_source(&node, pause).await;
         } else {
             tokio::time::sleep(pause).await;
--- a/wisteriaturnd/src/mesh/peer_client.rs
+++ b/wisteriaturnd/src/mesh/peer_client.rs
@@ -118,7 +118,7 @@
 
 /// Pulls the configuration from a peer unless a pull has just begun.
 pub fn spawn_pull(node: &NodeHandle, peer: NodeAddress) {
-    let Some(began) = lock(&node.pulling).begin(node.clock.now()) else {
+    let Some(began) = lock(&node.source.pulling).begin(node.clock.now()) else {
         return;
     };
     let node = node.clone();
@@ -126,7 +126,7 @@
         if let Err(error) = pull(&node, peer).await {
             log::debug!(event = "pull-failed", peer:% = peer, error:% = error; "config");
         }
-        lock(&node.pulling).end(began);
+        lock(&node.source.pulling).end(began);
     });
 }
 
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -9,7 +9,7 @@
 use std::ops::Deref;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot, watch};
@@ -20,12 +20,11 @@
 use wisteriaturn::gate::ledger::CallLedger;
 use wisteriaturn::gate::quarantine::SuspectTable;
 use wisteriaturn::ids::{
-    ConfigVersion, DataCentre, Incarnation, LifeId, NodeAddress, Offset, Sequence, ServiceName,
+    ConfigVersion, DataCentre, Incarnation, LifeId, NodeAddress, Sequence, ServiceName,
 };
 use wisteriaturn::log_port::LogPort;
 use wisteriaturn::member::directory::DirectoryPort;
 use wisteriaturn::member::isolation::LinkStanding;
-use wisteriaturn::member::pull::PullMark;
 use wisteriaturn::member::record::{MemberRecord, MemberState};
 use wisteriaturn::member::relay::relays;
 use wisteriaturn::member::rumor::RumorQueue;
@@ -39,6 +38,7 @@
 
 use crate::claims::desk::ClaimDesk;
 use crate::claims::keeper::ClaimKeeper;
+use crate::control::source::SourceStanding;
 use crate::control::store::ConfigStore;
 use crate::gate::targets::LocalTargets;
 use crate::http::headers::EdgeNames;
@@ -46,10 +46,6 @@
 use crate::metrics::{NodeMetrics, TrafficKind, TrafficReach};
 use crate::settings::NodeSettings;
 
-/// Time after which a version that peers hold is overdue at the source: a pause
-/// between two reads and a read.
-const OVERDUE_TIME: Duration = Duration::from_millis(900);
-
 /// The stage of a node's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum NodeStage {
@@ -130,8 +126,8 @@
     pub pending: Mutex<HashMap<u64, oneshot::Sender<NodeStatus>>>,
     /// Tells the version in force to those who wait for one.
     pub version: watch::Sender<ConfigVersion>,
-    /// Newest version that the source of documents named, once it was read.
-    pub source_version: watch::Sender<Option<ConfigVersion>>,
+    /// Where this node stands in the source of documents.
+    pub source: SourceStanding,
     /// Tells the stage to those who wait for one.
     pub stage: watch::Sender<NodeStage>,
     /// Wakes the task that joins members into the view.
@@ -139,19 +135,6 @@
     /// Whether the node was ready once in its life: before that it knows no
     /// configuration that it could refuse a route by.
     pub was_ready: AtomicBool,
-    /// Whether this node reads the source of documents at the moment.
-    pub is_reading: AtomicBool,
-    /// When the source of documents last answered this node.
-    pub source_answered: Mutex<Option<Instant>>,
-    /// How far the source was read, by this node or its reader: the version that
-    /// was in force then, and where reading goes on.
-    pub source_mark: Mutex<Option<(ConfigVersion, Offset)>>,
-    /// When the member that reads the source for this node last said so.
-    pub reader_heard: Mutex<Option<Instant>>,
-    /// Version that this node heard of and does not hold, and since when.
-    pub awaited: Mutex<Option<(ConfigVersion, Instant)>>,
-    /// The pull of the configuration that is under way.
-    pub pulling: Mutex<PullMark>,
     /// Whether a comparison of members is under way.
     pub is_comparing: AtomicBool,
     /// When this node last heard another.
@@ -319,16 +302,10 @@
             addresses: self.addresses,
             pending: Mutex::default(),
             version: watch::Sender::new(ConfigVersion(0)),
-            source_version: watch::Sender::new(None),
+            source: SourceStanding::new(),
             stage: watch::Sender::new(NodeStage::Starting),
             members_changed: Notify::new(),
             was_ready: AtomicBool::new(false),
-            is_reading: AtomicBool::new(false),
-            source_answered: Mutex::default(),
-            source_mark: Mutex::default(),
-            reader_heard: Mutex::default(),
-            awaited: Mutex::default(),
-            pulling: Mutex::default(),
             is_comparing: AtomicBool::new(false),
             link: Mutex::new(LinkStanding::new(clock.now())),
             gate_closes: Mutex::default(),
@@ -460,7 +437,7 @@
 
     /// Tells whether this node reads the source of documents at the moment.
     pub fn is_source_reader(&self) -> bool {
-        self.is_reading.load(Ordering::Acquire)
+        self.source.is_reading.load(Ordering::Acquire)
     }
 
     /// Tells whether to pull a version that a peer holds. A node that follows a
@@ -477,20 +454,14 @@
     /// Notes that a peer holds a version that this node does not.
     pub fn note_awaited(&self, version: ConfigVersion) {
         let held = lock(&self.store).version();
-        let mut awaited = lock(&self.awaited);
-        if awaited.is_none_or(|(first, _)| first <= held) {
-            *awaited = Some((version, self.clock.now()));
-        }
+        self.source.note_awaited(version, held, self.clock.now());
     }
 
     /// Tells whether this node has heard of a version for longer than getting it
     /// takes, and still does not hold it.
     pub fn is_version_overdue(&self) -> bool {
-        let now = self.clock.now();
         let held = lock(&self.store).version();
-        lock(&self.awaited).is_some_and(|(first, since)| {
-            first > held && now.saturating_duration_since(since) >= OVERDUE_TIME
-        })
+        self.source.is_overdue(held, self.clock.now())
     }
 
     /// Returns the retry budget of a service.
