route: split the placement of a call into named steps

Cause: read as a newcomer, place_call priced, chose and worked out the patience in one go. Change: patience_at, longest_wait and cheapest are steps of their own; behaviour unchanged. Ruled out: dropping the copy of each candidate, which the choice's log line needs.

--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -114,7 +114,6 @@
 {
     let mut candidates = judge_all(place, targets, load, call.tried, now);
     let mut prices = Vec::with_capacity(targets.len());
-    let mut costs = Vec::with_capacity(targets.len());
     for (target, candidate) in targets.iter().zip(&candidates) {
         let seen = load.get(target);
         let mut extra = seen.fault_share(now) * FAULT_COST;
@@ -122,40 +121,47 @@
         if target.is_suspect {
             extra += SUSPECT_COST;
         }
-        let price = PlacePrice {
+        prices.push(PlacePrice {
             candidate: candidate.clone(),
             run: seen.mean_run(call.route, now).unwrap_or(call.demand.run),
             extra: extra + rng.random_range(0.0..NOISE),
-        };
-        costs.push(price.believed(call.demand, Duration::ZERO));
-        prices.push(price);
-    }
-    let chosen = cheapest(&candidates, &costs);
-    let mut patience = Duration::MAX;
-    let mut is_last_resort = false;
-    if let Some(chosen) = chosen {
-        let others = (0..prices.len()).filter(|index| {
-            *index != chosen && candidates[*index].verdict == CandidateVerdict::Eligible
         });
-        // The call would come back here first.
-        let detour = prices[chosen].round_trip();
-        let next_best = others
-            .map(|index| prices[index].believed(call.demand, detour))
-            .min_by(f64::total_cmp);
-        if let Some(next_best) = next_best {
-            patience = prices[chosen].patience(call.demand, next_best);
-        }
-        is_last_resort = candidates[chosen].verdict != CandidateVerdict::Eligible;
-        candidates[chosen].verdict = CandidateVerdict::Chosen;
     }
+    let Some(chosen) = cheapest(&prices, call.demand) else {
+        return TargetChoice {
+            chosen: None,
+            candidates,
+            patience: Duration::MAX,
+            is_last_resort: false,
+        };
+    };
+    let is_last_resort = candidates[chosen].verdict != CandidateVerdict::Eligible;
+    candidates[chosen].verdict = CandidateVerdict::Chosen;
     TargetChoice {
-        chosen,
+        chosen: Some(chosen),
         candidates,
-        patience,
+        patience: patience_at(&prices, chosen, call.demand),
         is_last_resort,
     }
 }
 
+/// Returns the longest wait at the chosen target that is better than going to
+/// the next best one, by way of this node.
+fn patience_at(prices: &[PlacePrice], chosen: usize, demand: &CallDemand) -> Duration {
+    let detour = prices[chosen].round_trip();
+    let next_best = prices
+        .iter()
+        .enumerate()
+        .filter(|(index, price)| {
+            *index != chosen && price.candidate.verdict == CandidateVerdict::Eligible
+        })
+        .map(|(_, price)| price.believed(demand, detour))
+        .min_by(f64::total_cmp);
+    next_best.map_or(Duration::MAX, |limit| {
+        prices[chosen].longest_wait(demand, limit)
+    })
+}
+
 /// What a call costs at one target, as a share of its value.
 #[derive(Debug)]
 struct PlacePrice {
@@ -201,7 +207,7 @@
 
     /// Returns the longest wait here that costs no more than `limit`, to within
     /// a step of 1 in 64 of the call's time.
-    fn patience(&self, demand: &CallDemand, limit: f64) -> Duration {
+    fn longest_wait(&self, demand: &CallDemand, limit: f64) -> Duration {
         let (mut low, mut high) = (Duration::ZERO, demand.deadline);
         for _ in 0..PATIENCE_STEPS {
             let middle = (low + high) / 2;
@@ -248,14 +254,18 @@
 /// Returns the cheapest target that can be chosen; full ones and then ejected
 /// ones where there is no other, since an attempt that may be refused is better
 /// than none.
-fn cheapest(candidates: &[TargetCandidate], costs: &[f64]) -> Option<usize> {
+fn cheapest(prices: &[PlacePrice], demand: &CallDemand) -> Option<usize> {
+    let costs: Vec<f64> = prices
+        .iter()
+        .map(|price| price.believed(demand, Duration::ZERO))
+        .collect();
     for verdict in [
         CandidateVerdict::Eligible,
         CandidateVerdict::Full,
         CandidateVerdict::Ejected,
     ] {
-        let found = (0..candidates.len())
-            .filter(|index| candidates[*index].verdict == verdict)
+        let found = (0..prices.len())
+            .filter(|index| prices[*index].candidate.verdict == verdict)
             .min_by(|one, other| costs[*one].total_cmp(&costs[*other]));
         if found.is_some() {
             return found;
--- a/wisteriaturnd/src/ingress/placing.rs
+++ b/wisteriaturnd/src/ingress/placing.rs
@@ -11,9 +11,8 @@
 use crate::ingress::attempt::RoutedCall;
 use crate::node::NodeHandle;
 
-/// Targets at which a call may be found to wait too long before it settles for
-/// the best of them: with a third of the targets full, three free ones in a row
-/// are missed once in 27 calls.
+/// Targets that may send a call on before it waits at the best of them: with a
+/// third of the targets full, three full ones in a row are met once in 27 calls.
 const CROWDED_LIMIT: usize = 3;
 
 /// The place of the next attempt.
@@ -26,7 +25,7 @@
 }
 
 /// Chooses the target of the next attempt. `tried` are those that had one and
-/// `crowded` those that would have made the call wait too long.
+/// `crowded` those that sent the call on.
 pub(crate) fn choose(
     node: &NodeHandle,
     call: &RoutedCall,
@@ -43,7 +42,7 @@
     let choice = choose_among(node, call, tried)?;
     Some(match crowded {
         [] => choice,
-        // What these targets said is new, and the wait is known to be the least.
+        // These targets told their load just now, so the least wait is known.
         _ => ChosenPlace {
             patience: Duration::MAX,
             ..choice
