node: look at the silence before counting members

Behaviour unchanged. Ruled out: keeping the count beside the table (a second copy of a state that can be derived).

--- a/src/member/isolation.rs
+++ b/src/member/isolation.rs
@@ -34,9 +34,14 @@
         self.heard = self.heard.max(now);
     }
 
+    /// Tells whether no other node was heard for [`ISOLATION_TIME`].
+    pub fn is_silent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) >= ISOLATION_TIME
+    }
+
     /// Tells whether the node is cut off, as one of `others` members besides it
     /// that are expected to live.
     pub fn is_isolated(&self, others: usize, now: Instant) -> bool {
-        others >= LEAST_OTHERS && now.saturating_duration_since(self.heard) >= ISOLATION_TIME
+        others >= LEAST_OTHERS && self.is_silent(now)
     }
 }
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -339,8 +339,14 @@
 
     /// Tells whether this node is cut off from all others.
     pub fn is_isolated(&self) -> bool {
+        let now = self.clock.now();
+        let link = *lock(&self.link);
+        // Each call asks this, and counting the members looks at all of them.
+        if !link.is_silent(now) {
+            return false;
+        }
         let others = self.live_members().saturating_sub(1);
-        lock(&self.link).is_isolated(others, self.clock.now())
+        link.is_isolated(others, now)
     }
 
     /// Tells whether callers should come to this node.
