tests, testing: mend two checks that reported a promise that was kept

Cause: the restart test started each node right after it was killed, while others still ran, so the first one could rightly become ready by way of them; and the observer of the chaos experiment passed over the stage "starting" only, so it compared the version 0 of a node that was stopped before it was ready. After: all nodes are killed before one is started; /v1/status says whether the node was ever ready, and a version counts as shown from then on. Conclusion: the checks are as strict for versions that a node serves.

--- a/testing/src/experiment/observer.rs
+++ b/testing/src/experiment/observer.rs
@@ -73,8 +73,14 @@
     }
 }
 
-/// Polls one node until `stop` is set. Statuses of a node that is still starting are
-/// ignored, because it doesn't serve its configuration to callers yet.
+/// Returns `true` if a status shows a version that the node serves to callers. A node
+/// that was never ready serves none, even if it is already being stopped.
+pub fn shows_served_version(status: &Value) -> bool {
+    status["was_ready"] == true
+}
+
+/// Polls one node until `stop` is set. Statuses of a node that has not been ready yet
+/// are ignored, because it doesn't serve its configuration to callers.
 pub async fn observe_node(
     admin: SocketAddr,
     index: usize,
@@ -90,7 +96,7 @@
             continue;
         };
         let version = status["version"].as_u64().unwrap_or_default();
-        if status["stage"] == "starting" {
+        if !shows_served_version(&status) {
             continue;
         }
         if version < highest {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod edge_rules;
 mod embedded_link;
 mod embedded_partition;
+mod experiment_rules;
 mod gate_rules;
 mod hostile_bytes;
 mod load_rules;
--- a/tests/integration/process_config.rs
+++ b/tests/integration/process_config.rs
@@ -157,8 +157,12 @@
     cluster
         .set_log_behaviour(r#"{"outage":true,"trim":{"config":3}}"#)
         .await?;
+    // A node that starts while another one still runs may rightly become ready by
+    // way of it.
     for index in 0..4 {
         cluster.kill_node(index);
+    }
+    for index in 0..4 {
         cluster.start_node(index)?;
     }
     for index in 0..4 {
--- a/wisteriaturnd/src/admin/view.rs
+++ b/wisteriaturnd/src/admin/view.rs
@@ -1,6 +1,7 @@
 //! Read requests of the admin port: the configuration in force, members,
 //! targets, convergence across the mesh, and how a call would be routed.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -61,6 +62,7 @@
         "region": node.location.region,
         "data_centre": node.location.data_centre,
         "stage": format!("{:?}", node.current_stage()).to_lowercase(),
+        "was_ready": node.was_ready.load(Ordering::Acquire),
         "version": view.config.version,
         "services": view.config.services.len(),
         "routes": view.config.route_count(),
