gate, route, retry: admit large bodies before they travel, and ask full services less

Change: bodies from 16 kB on wait for the gate's 100 Continue, four at a time; the wait for the link and the bytes of requests enter the cost of a target; nodes hold up to 16 MiB of bodies, so refused uploads can go elsewhere; an attempt after a refusal has to be earned; an ingress whose calls are refused makes 1.6 calls for each that is admitted.

--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -13,3 +13,4 @@
 pub mod outcome;
 pub mod quarantine;
 pub mod slots;
+pub mod transfer;
--- a/src/gate/slots.rs
+++ b/src/gate/slots.rs
@@ -88,7 +88,7 @@
 
     /// Returns `true` if a call that starts at `start` may finish before its
     /// deadline.
-    fn can_finish(&self, start: Instant) -> bool {
+    pub(crate) fn can_finish(&self, start: Instant) -> bool {
         start < self.deadline
             && start + self.expected_run_time.mul_f64(MIN_RUN_FACTOR) <= self.deadline
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 #[macro_use]
 mod macros;
 
+pub mod buffer;
 pub mod clock;
 pub mod config;
 pub mod error;
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -8,3 +8,5 @@
 
 pub mod budget;
 pub mod deadline;
+pub mod refused;
+pub mod throttle;
--- a/src/route/cost.rs
+++ b/src/route/cost.rs
@@ -24,6 +24,7 @@
 
 use crate::config::resource::PolicySpec;
 use crate::config::view::TargetEntry;
+use crate::gate::transfer::MIN_ADMITTED_BODY_BYTES;
 use crate::ids::{NodeAddress, RouteName};
 use crate::route::choose::{
     CandidateVerdict, NodeLocation, TargetCandidate, TargetChoice, assess_candidates,
@@ -36,8 +37,8 @@
 /// of magnitude is that of links that are billed by volume.
 const TRANSFER_COST_PER_KB: [f64; 3] = [0.0, 0.01, 0.04];
 
-/// Bytes of request and answer heads that a call transfers in addition to the
-/// answer's body.
+/// Bytes of request and answer heads that a call transfers in addition to its
+/// bodies.
 const HEAD_BYTES: f64 = 1_000.0;
 
 /// Round-trip time by distance, including the processing by two more nodes.
@@ -89,6 +90,8 @@
     pub soft_deadline: Duration,
     /// Time left until the deadline, after which an answer is worthless.
     pub deadline: Duration,
+    /// Size of the request's body in bytes.
+    pub request_bytes: u64,
     /// Expected size of the answer's body in bytes.
     pub answer_bytes: f64,
     /// Expected run time on a target that reported none.
@@ -104,6 +107,8 @@
     pub requirements: &'a CallRequirements,
     /// Nodes that earlier attempts of the call went to.
     pub tried: &'a [NodeAddress],
+    /// The node that chooses, whose own target needs no link.
+    pub own_node: Option<NodeAddress>,
 }
 
 /// Chooses the target with the least expected cost.
@@ -129,6 +134,11 @@
             fixed_cost += SUSPECT_COST;
         }
         target_costs.push(TargetCost {
+            transfer_time: if request.own_node == Some(target.node) {
+                Duration::ZERO
+            } else {
+                transfer_time(target, target_load.link_wait(now), request.requirements)
+            },
             candidate: candidate.clone(),
             run_time: target_load
                 .mean_run_time(request.route, now)
@@ -181,6 +191,9 @@
 struct TargetCost {
     candidate: TargetCandidate,
     run_time: Duration,
+    /// Time that the bodies of the request and the answer take on the link of the
+    /// target's VM.
+    transfer_time: Duration,
     fixed_cost: f64,
 }
 
@@ -210,12 +223,12 @@
         self.cost_for_time(requirements, wait + run_time) + FULL_TARGET_COST
     }
 
-    /// Returns the cost if the target takes `time` until the call ends.
+    /// Returns the cost if the target takes `time` until the call ends. Bytes are
+    /// billed in both directions.
     fn cost_for_time(&self, requirements: &CallRequirements, time: Duration) -> f64 {
-        let bytes = requirements.answer_bytes + HEAD_BYTES;
+        let bytes = requirements.request_bytes as f64 + requirements.answer_bytes + HEAD_BYTES;
         let transfer_cost = TRANSFER_COST_PER_KB[self.distance()] * bytes / 1024.0;
-        let time =
-            time + self.round_trip() + self.candidate.link.transfer_time(requirements.answer_bytes);
+        let time = time + self.round_trip() + self.transfer_time;
         let late_cost =
             probability_over(time, requirements.soft_deadline) * (1.0 - LATE_ANSWER_VALUE);
         let missed_cost = probability_over(time, requirements.deadline) * LATE_ANSWER_VALUE;
@@ -240,6 +253,21 @@
     }
 }
 
+/// Returns the time that the bodies of a call take on the link of a target's VM. A
+/// large request body first waits for those that the gate receives before it.
+fn transfer_time(
+    target: &TargetEntry,
+    link_wait: Duration,
+    requirements: &CallRequirements,
+) -> Duration {
+    let bodies = requirements.request_bytes as f64 + requirements.answer_bytes;
+    let transfer_time = target.link.transfer_time(bodies);
+    if requirements.request_bytes < MIN_ADMITTED_BODY_BYTES {
+        return transfer_time;
+    }
+    link_wait + transfer_time
+}
+
 /// Returns the share of a target's slots that is in use with one more call.
 fn fill(candidate: &TargetCandidate) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -9,6 +9,8 @@
 use crate::config::resource::PolicySpec;
 use crate::config::view::TargetEntry;
 use crate::ids::{Incarnation, NodeAddress, RouteName, ServiceName};
+use crate::retry::refused::RefusalBudget;
+use crate::retry::throttle::CallThrottle;
 
 /// How long a reported load is used.
 pub const REPORT_TTL: Duration = Duration::from_secs(2);
@@ -29,6 +31,10 @@
 /// Half-life of the failure rate while a target gets no calls.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Maximum number of routes of a service with a throttle. A further route clears all
+/// of them.
+const MAX_THROTTLES: usize = 4096;
+
 /// Weight of a new sample in the moving average of the latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -51,6 +57,9 @@
     full_until: Option<Instant>,
     run_times: Vec<RouteRunTime>,
     failure_rate: FailureRate,
+    /// The wait for the link of the gate's VM in its last report, and when it
+    /// arrived.
+    link_wait: Option<(Instant, Duration)>,
 }
 
 /// The mean run time of one route, as reported by a gate.
@@ -99,9 +108,19 @@
             full_until: None,
             run_times: Vec::new(),
             failure_rate: FailureRate::default(),
+            link_wait: None,
         }
     }
 
+    /// Returns the expected wait for the link of the gate's VM: what the gate
+    /// last reported, less the time since.
+    pub fn link_wait(&self, now: Instant) -> Duration {
+        self.link_wait
+            .map_or(Duration::ZERO, |(reported_at, wait)| {
+                wait.saturating_sub(now.saturating_duration_since(reported_at))
+            })
+    }
+
     /// Returns the mean run time of a route at this target, if the gate
     /// reported it within [`RUN_TIME_TTL`].
     ///
@@ -171,6 +190,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServiceLoad {
     targets: HashMap<NodeAddress, TargetLoad>,
+    /// Attempts that may follow refusals by gates.
+    pub refusals: RefusalBudget,
+    throttles: HashMap<RouteName, CallThrottle>,
     /// Maximum distance level to which calls currently go.
     pub max_distance: u8,
 }
@@ -191,6 +213,14 @@
         load
     }
 
+    /// Returns the throttle of the calls of a route.
+    pub fn throttle(&mut self, route: &RouteName) -> &mut CallThrottle {
+        if self.throttles.len() >= MAX_THROTTLES && !self.throttles.contains_key(route) {
+            self.throttles.clear();
+        }
+        self.throttles.entry(route.clone()).or_default()
+    }
+
     /// Removes targets that the view no longer has and that have no call in
     /// flight.
     pub fn retain_targets(&mut self, targets: &[TargetEntry]) {
@@ -219,6 +249,14 @@
         }
     }
 
+    /// Records the wait for the link of its VM that a gate reported with its
+    /// answer.
+    pub fn record_link_wait(&mut self, node: NodeAddress, wait: Duration, now: Instant) {
+        if let Some(load) = self.targets.get_mut(&node) {
+            load.link_wait = Some((now, wait));
+        }
+    }
+
     /// Records the mean run time of a route that a gate reported with its
     /// answer.
     ///
--- a/tests/integration/load_rules.rs
+++ b/tests/integration/load_rules.rs
@@ -271,6 +271,7 @@
         let requirements = CallRequirements {
             soft_deadline: ms(soft_deadline),
             deadline: ms(soft_deadline * 4),
+            request_bytes: 0,
             answer_bytes: bytes,
             expected_run_time: ms(160),
         };
@@ -283,6 +284,7 @@
             route: &route,
             requirements: &requirements,
             tried: &[],
+            own_node: None,
         };
         let policy = policy();
         choose_cheapest_target(
--- a/tests/integration/load_simulation.rs
+++ b/tests/integration/load_simulation.rs
@@ -55,6 +55,8 @@
     /// Whether calls carry the longest wait that is better than trying another
     /// target.
     has_wait_limit: bool,
+    /// Whether the attempts that follow refusals are limited.
+    has_refusal_budget: bool,
 }
 
 impl LoadPattern {
@@ -72,6 +74,7 @@
             target_latency: Duration::from_millis(500),
             deadline: Duration::from_millis(1_500),
             has_wait_limit: true,
+            has_refusal_budget: true,
         }
     }
 }
@@ -83,12 +86,18 @@
     in_time: usize,
     late: usize,
     refused: usize,
+    runs: usize,
+    refused_attempts: usize,
 }
 
 impl SimulationResult {
     fn mean_value(&self) -> f64 {
         (self.in_time as f64 + self.late as f64 * LATE_ANSWER_VALUE) / self.calls.max(1) as f64
     }
+
+    fn refused_attempts_per_run(&self) -> f64 {
+        self.refused_attempts as f64 / self.runs.max(1) as f64
+    }
 }
 
 type SlotFuture = Pin<Box<dyn Future<Output = Result<SlotPermit, RefusalReason>>>>;
@@ -223,6 +232,7 @@
         self.schedule(Duration::from_secs_f64(gap), Step::Arrive);
         let ingress = self.rng.random_range(0..self.loads.len());
         self.result.calls += 1;
+        self.loads[ingress].refusals.record_call();
         self.calls.push(SimulatedCall {
             ingress,
             arrived_at: now,
@@ -256,6 +266,7 @@
             soft_deadline: (arrived_at + self.pattern.target_latency)
                 .saturating_duration_since(now),
             deadline: (arrived_at + self.pattern.deadline).saturating_duration_since(now),
+            request_bytes: 0,
             answer_bytes: 1_500.0,
             expected_run_time: self.pattern.work,
         };
@@ -264,6 +275,7 @@
             route: &route(),
             requirements: &requirements,
             tried: &excluded,
+            own_node: None,
         };
         let choice = choose_cheapest_target(
             &location,
@@ -281,7 +293,9 @@
         self.loads[ingress].start_attempt(&self.targets[target]);
         let simulated = &mut self.calls[call];
         simulated.target = target;
-        simulated.max_wait = if self.pattern.has_wait_limit && !must_wait {
+        let may_be_sent_on =
+            !self.pattern.has_refusal_budget || self.loads[ingress].refusals.has_attempt();
+        simulated.max_wait = if self.pattern.has_wait_limit && !must_wait && may_be_sent_on {
             choice.max_wait
         } else {
             Duration::MAX
@@ -330,6 +344,7 @@
             drop(self.waiting.swap_remove(index));
             match outcome {
                 Ok(permit) => {
+                    self.result.runs += 1;
                     let run = self.run_time(call);
                     self.schedule(run, Step::FinishRun(call, permit, run));
                 }
@@ -388,8 +403,19 @@
             RefusalReason::Crowded => simulated.crowded.push(node),
             _ => simulated.tried.push(node),
         }
+        let ingress = simulated.ingress;
+        let refusals = &mut self.loads[ingress].refusals;
+        let may_try_again = match reason {
+            RefusalReason::Crowded => {
+                refusals.take_owed();
+                true
+            }
+            _ => !self.pattern.has_refusal_budget || refusals.try_take(),
+        };
+        self.result.refused_attempts += 1;
         let is_past_deadline = self.clock.now() >= simulated.arrived_at + self.pattern.deadline;
-        if is_past_deadline
+        if !may_try_again
+            || is_past_deadline
             || simulated.tried.len() >= MAX_REFUSALS
             || reason == RefusalReason::Deadline
         {
@@ -404,6 +430,54 @@
     "pages".parse().expect("valid name")
 }
 
+/// Returns the mean value and the refused attempts for each run, over three seeds.
+fn overload_with_refusal_budget(load: f64, has_refusal_budget: bool) -> (f64, f64) {
+    let seeds = 1..=3;
+    let count = seeds.clone().count() as f64;
+    let mut sums = (0.0, 0.0);
+    for seed in seeds {
+        let pattern = LoadPattern {
+            has_refusal_budget,
+            ..LoadPattern::many_ingresses(seed, load)
+        };
+        let result = LoadSimulation::new(pattern).run();
+        println!(
+            "load {load}, with refusal budget {has_refusal_budget}: {result:?} {:.3}",
+            result.mean_value()
+        );
+        sums.0 += result.mean_value();
+        sums.1 += result.refused_attempts_per_run();
+    }
+    (sums.0 / count, sums.1 / count)
+}
+
+/// Change of the mean value that is within noise.
+const NOISE: f64 = 0.03;
+
+#[yare::parameterized(
+    usual_load = { 0.75, 2.0 },
+    full_load = { 0.95, 2.0 },
+    overload = { 1.2, 2.0 },
+    // Half of the calls can't run, and each call makes two attempts at most: three
+    // refused attempts for each run, and a few that were saved up.
+    twice_the_capacity = { 2.0, 3.5 },
+)]
+fn refused_attempts_are_limited_without_loss_of_value(load: f64, max_per_run: f64) {
+    let (value, per_run) = overload_with_refusal_budget(load, true);
+    let (unlimited_value, unlimited_per_run) = overload_with_refusal_budget(load, false);
+    println!(
+        "load {load}: {unlimited_value:.3} -> {value:.3}, refused per run {unlimited_per_run:.2} -> {per_run:.2}"
+    );
+    assert!(
+        per_run < max_per_run,
+        "{per_run:.2} refused attempts for each run"
+    );
+    assert!(
+        value > unlimited_value - NOISE,
+        "{unlimited_value:.3} -> {value:.3}"
+    );
+}
+
 fn mean_value_over_seeds(load: f64, has_wait_limit: bool) -> f64 {
     let seeds = 1..=3;
     let count = seeds.clone().count() as f64;
--- a/wisteriaturnd/src/gate/admit.rs
+++ b/wisteriaturnd/src/gate/admit.rs
@@ -64,8 +64,16 @@
     admitted
 }
 
-/// Checks whether the call may run, then waits for a slot and a connection.
-async fn try_admit(node: &NodeHandle, call: &GateCall) -> Result<AdmittedCall, RefusalReason> {
+/// Checks whether this gate may run the call at all, apart from its load, and
+/// returns the target that would run it.
+///
+/// # Errors
+///
+/// Returns the reason if it may not.
+pub(crate) fn check_acceptable(
+    node: &NodeHandle,
+    call: &GateCall,
+) -> Result<Arc<LocalTarget>, RefusalReason> {
     match node.current_stage() {
         NodeStage::Starting => return Err(RefusalReason::NotReady),
         NodeStage::Draining | NodeStage::Stopping | NodeStage::Closing => {
@@ -85,20 +93,39 @@
         .targets
         .get(&call.service)
         .ok_or(RefusalReason::NoTarget)?;
-    let until = call.deadline.at();
     let run_time = expected_run_time(node, call, &target);
     let closing_time = *lock(&node.gate_closes_at);
     if closing_time.is_some_and(|closing| now + run_time.mul_f64(LIKELY_RUN_FACTOR) > closing) {
         return Err(RefusalReason::Draining);
     }
-    let slot_request = SlotRequest {
+    Ok(target)
+}
+
+/// Returns the request for a slot of a target that a call makes.
+pub(crate) fn slot_request(
+    node: &NodeHandle,
+    call: &GateCall,
+    target: &LocalTarget,
+) -> SlotRequest {
+    SlotRequest {
         rank: QueueRank::new(call.class, call.priority),
         soft_deadline: call.soft_deadline.at(),
-        deadline: until,
-        expected_run_time: run_time,
+        deadline: call.deadline.at(),
+        expected_run_time: expected_run_time(node, call, target),
         max_wait: call.max_wait,
-    };
-    let acquired = timeout_at(until.into(), target.gate.acquire_for(slot_request)).await;
+    }
+}
+
+/// Checks whether the call may run, then waits for a slot and a connection.
+async fn try_admit(node: &NodeHandle, call: &GateCall) -> Result<AdmittedCall, RefusalReason> {
+    let target = check_acceptable(node, call)?;
+    let now = node.clock.now();
+    let slot_request = slot_request(node, call, &target);
+    let acquired = timeout_at(
+        call.deadline.at().into(),
+        target.gate.acquire_for(slot_request),
+    )
+    .await;
     let permit = acquired.map_err(|_| RefusalReason::Deadline)??;
     let waited = node.clock.now().duration_since(now);
     node.metrics.gate_wait_seconds.observe(waited.as_secs_f64());
--- a/wisteriaturnd/src/gate/mod.rs
+++ b/wisteriaturnd/src/gate/mod.rs
@@ -9,3 +9,4 @@
 pub mod run;
 pub mod send;
 pub mod targets;
+pub mod transfer;
--- a/wisteriaturnd/src/gate/port.rs
+++ b/wisteriaturnd/src/gate/port.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::header::EXPECT;
 use hyper::{Request, Response};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -16,7 +17,7 @@
 use wisteriaturn::retry::deadline::CallDeadline;
 
 use crate::gate::answer::refusal;
-use crate::gate::run;
+use crate::gate::{run, transfer};
 use crate::http::body::{NodeBody, boxed, full};
 use crate::http::headers;
 use crate::http::listener::{PortLimits, accept_until_stopped, serve_http};
@@ -69,16 +70,41 @@
         Some(call) => {
             let mut request = request.map(boxed);
             headers::strip_mesh(request.headers_mut());
+            request.headers_mut().remove(EXPECT);
             if let Some(request_id) = &call.request_id {
                 let name = node.edge_headers.request_id.clone();
                 request.headers_mut().insert(name, request_id.clone());
             }
+            if transfer::needs_admission(request.body()) {
+                let (parts, body) = request.into_parts();
+                match transfer::receive(node, &call, body).await {
+                    Ok(body) => request = Request::from_parts(parts, body),
+                    Err(reason) => return refuse_body(node, &call, reason),
+                }
+            }
             run::run(node, call, request).await
         }
         None => refusal(CallOutcome::NotRun, RefusalReason::BadRequest),
     }
 }
 
+/// Refuses a call before its body was received. The call was not registered, so it
+/// has not run and, if its node asks about it, never will.
+fn refuse_body(node: &NodeHandle, call: &GateCall, reason: RefusalReason) -> Response<NodeBody> {
+    log::info!(
+        event = "body-refused",
+        request:% = call.loggable_request_id(),
+        service:% = call.service,
+        reason = reason.name(),
+        receiving = node.transfers.load().busy,
+        waiting = node.transfers.load().waiting;
+        "gate"
+    );
+    let mut response = refusal(CallOutcome::NotRun, reason);
+    run::report_load(node, call, &mut response);
+    response
+}
+
 /// Parses the mesh headers of a request from another node. Returns `None` if a
 /// required header is missing or malformed.
 fn read_call(node: &NodeHandle, request: &Request<Incoming>) -> Option<GateCall> {
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -39,32 +39,42 @@
     call: GateCall,
     request: Request<NodeBody>,
 ) -> Response<NodeBody> {
-    let (service, route) = (call.service.clone(), call.route.clone());
     let mut response = if call.is_idempotent {
         run_idempotent(node, &call, request).await
     } else {
-        let node = node.clone();
+        let (node, call) = (node.clone(), call.clone());
         let task = tokio::spawn(async move { run_once(&node, call, request).await });
         // If the task panicked, the call may have been sent.
         task.await
             .unwrap_or_else(|_| refusal(CallOutcome::Unknown, RefusalReason::TargetLost))
     };
-    if let Some(target) = node.targets.get(&service) {
-        let load = target.gate.load();
-        let map = response.headers_mut();
-        headers::set(map, headers::BUSY, load.busy + load.waiting);
-        if let Some(mean) = route.and_then(|route| node.run_estimates.measured(&route)) {
-            headers::set(map, headers::MEAN_RUN_US, mean.run_time.as_micros());
-        }
-        headers::set(
-            map,
-            headers::EXPECTED_WAIT_MS,
-            load.expected_wait().as_millis(),
-        );
-    }
+    report_load(node, &call, &mut response);
     response
 }
 
+/// Adds the load of this gate to a response, by which other nodes choose targets.
+pub(crate) fn report_load(node: &NodeHandle, call: &GateCall, response: &mut Response<NodeBody>) {
+    let Some(target) = node.targets.get(&call.service) else {
+        return;
+    };
+    let load = target.gate.load();
+    let map = response.headers_mut();
+    headers::set(map, headers::BUSY, load.busy + load.waiting);
+    let route = call.route.as_ref();
+    if let Some(mean) = route.and_then(|route| node.run_estimates.measured(route)) {
+        headers::set(map, headers::MEAN_RUN_US, mean.run_time.as_micros());
+    }
+    let link_wait = node.transfers.load().expected_wait();
+    if !link_wait.is_zero() {
+        headers::set(map, headers::LINK_WAIT_MS, link_wait.as_millis());
+    }
+    headers::set(
+        map,
+        headers::EXPECTED_WAIT_MS,
+        load.expected_wait().as_millis(),
+    );
+}
+
 async fn run_idempotent(
     node: &NodeHandle,
     call: &GateCall,
--- a/wisteriaturnd/src/http/body.rs
+++ b/wisteriaturnd/src/http/body.rs
@@ -79,6 +79,19 @@
         })
     }
 
+    /// Returns the size of the body, as far as it is known.
+    pub fn size_hint(&self) -> SizeHint {
+        match self {
+            BufferedBody::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            BufferedBody::Stream { prefix, rest } => {
+                let rest_hint = rest.as_ref().map(Body::size_hint).unwrap_or_default();
+                let mut hint = SizeHint::new();
+                hint.set_lower(prefix.len() as u64 + rest_hint.lower());
+                hint
+            }
+        }
+    }
+
     /// Returns the buffered bytes, from which fingerprints are computed.
     pub fn prefix(&self) -> &Bytes {
         match self {
--- a/wisteriaturnd/src/http/exchange.rs
+++ b/wisteriaturnd/src/http/exchange.rs
@@ -1,14 +1,22 @@
 //! HTTP exchanges over pooled connections.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
+use tokio::sync::Notify;
 
 use crate::error::LinkError;
 use crate::http::body::{BodyEnd, NodeBody, OnEndBody, boxed, with_stall_timeout};
+use crate::http::held_body::SendPermission;
 use crate::http::pool::{ConnectionPool, PooledConnection};
 
+/// Maximum number of interim responses (1xx) to a request. Servers send one or two;
+/// one that sends them without end never answers.
+const MAX_INTERIM_RESPONSES: u32 = 8;
+
 /// The error of a failed exchange.
 #[derive(Debug)]
 pub enum ExchangeError {
@@ -29,9 +37,18 @@
 /// sent.
 pub async fn send(
     connection: &mut PooledConnection,
-    request: Request<NodeBody>,
+    mut request: Request<NodeBody>,
 ) -> Result<Response<Incoming>, ExchangeError> {
-    match connection.sender.try_send_request(request).await {
+    let has_too_many_interim = watch_interim_responses(&mut request);
+    let sent = tokio::select! {
+        sent = connection.sender.try_send_request(request) => sent,
+        () = has_too_many_interim.notified() => {
+            return Err(ExchangeError::Lost(LinkError::Lost(format!(
+                "more than {MAX_INTERIM_RESPONSES} interim responses"
+            ))));
+        }
+    };
+    match sent {
         Ok(response) => {
             connection.apply_keep_alive(response.headers());
             Ok(response)
@@ -45,6 +62,25 @@
     }
 }
 
+/// Lets a held body be sent once the other side asks for it, and notifies the
+/// returned handle if interim responses come without end.
+fn watch_interim_responses(request: &mut Request<NodeBody>) -> Arc<Notify> {
+    let has_too_many = Arc::new(Notify::new());
+    let permission = request.extensions_mut().remove::<SendPermission>();
+    let (count, notify) = (AtomicU32::new(0), Arc::clone(&has_too_many));
+    hyper::ext::on_informational(request, move |response| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+            notify.notify_one();
+        }
+        if response.status() == StatusCode::CONTINUE
+            && let Some(permission) = &permission
+        {
+            permission.grant();
+        }
+    });
+    has_too_many
+}
+
 /// Returns the body of a response. It fails after `timeout` without progress,
 /// releases its connection to the pool when it is complete, and calls `on_end`
 /// when it ends.
--- a/wisteriaturnd/src/http/headers.rs
+++ b/wisteriaturnd/src/http/headers.rs
@@ -58,6 +58,10 @@
 /// milliseconds; between nodes.
 pub const EXPECTED_WAIT_MS: HeaderName = HeaderName::from_static("wisteriaturn-room-ms");
 
+/// Expected wait for the link of a gate's VM before it receives another large
+/// body, in milliseconds; between nodes. Absent if there is none.
+pub const LINK_WAIT_MS: HeaderName = HeaderName::from_static("wisteriaturn-link-wait-ms");
+
 /// Names of the headers that callers and targets use, and the format of
 /// `Retry-After`. They depend on the platform that a node runs on, unlike the
 /// headers between nodes.
--- a/wisteriaturnd/src/http/mod.rs
+++ b/wisteriaturnd/src/http/mod.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod exchange;
 pub mod headers;
+pub mod held_body;
 pub mod listener;
 pub mod pool;
 pub mod tcp_timeout;
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -17,11 +17,12 @@
 use hyper::{Request, Response};
 use rand::RngExt;
 use tokio::time::timeout_at;
+use wisteriaturn::buffer::ByteReservation;
 use wisteriaturn::clock::lock;
 use wisteriaturn::config::view::{RouteEntry, ServiceEntry, ServingView, TargetEntry};
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::quarantine::QuarantineStatus;
-use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, NodeAddress};
+use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, NodeAddress, ServiceName};
 use wisteriaturn::retry::budget::RetryBudget;
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::route::load::AttemptResult;
@@ -86,6 +87,8 @@
     pub parts: Parts,
     /// Body of the request.
     pub body: BufferedBody,
+    /// Reservation of the memory that the body takes.
+    pub held_bytes: Option<ByteReservation>,
 }
 
 impl RoutedCall {
@@ -114,6 +117,8 @@
     mean_run_time: Option<Duration>,
     /// Time until the gate expects to have capacity again.
     expected_wait: Option<Duration>,
+    /// Expected wait for the link of the gate's VM.
+    link_wait: Option<Duration>,
 }
 
 /// The attempts of one call so far.
@@ -149,6 +154,12 @@
 pub async fn run(node: &NodeHandle, mut call: RoutedCall) -> Response<NodeBody> {
     let budget = node.retry_budget(&call.service.spec.name);
     budget.record_call(call.service.spec.retry_percent);
+    let service = call.service.spec.name.clone();
+    if is_throttled(node, &call) {
+        let mut response = refusal(CallOutcome::NotRun, RefusalReason::Saturated);
+        node.set_retry_after(&mut response, jittered_retry_after(DEFAULT_RETRY_AFTER));
+        return response;
+    }
     let mut history = AttemptHistory::default();
     // The response to an attempt that may have run. Once there is one, the call
     // can no longer be reported as `not-run`, whatever later attempts return.
@@ -158,8 +169,10 @@
         let finished = make_attempt(node, &mut call, &chosen, history.len() + 1).await;
         history.record(&finished, chosen.target.node);
         let will_retry = may_retry(node, &call, &finished, &history)
-            && (!finished.may_have_reached_target() || take_retry_token(node, &budget));
+            && (!finished.may_have_reached_target() || take_retry_token(node, &budget))
+            && take_refused_attempt(node, &service, finished.reason);
         if finished.outcome == CallOutcome::Done && !(will_retry && finished.is_target_failure()) {
+            record_admission(node, &call, &finished.response);
             return finished.response;
         }
         match finished.outcome {
@@ -172,11 +185,61 @@
     }
     let no_target = || refusal(CallOutcome::NotRun, RefusalReason::NoTarget);
     let mut response = possibly_run.or(not_run).unwrap_or_else(no_target);
+    record_admission(node, &call, &response);
     let retry_after = history.expected_wait.unwrap_or(DEFAULT_RETRY_AFTER);
     node.set_retry_after(&mut response, jittered_retry_after(retry_after));
     response
 }
 
+/// Decides whether to refuse a call without an attempt because its service is
+/// overloaded, and logs a refusal. A free slot of the target on this VM is always
+/// used.
+fn is_throttled(node: &NodeHandle, call: &RoutedCall) -> bool {
+    let service = &call.service.spec.name;
+    let now = node.clock.now();
+    let has_free_slot = node
+        .targets
+        .get(service)
+        .is_some_and(|target| target.gate.load().expected_wait().is_zero());
+    let point = rand::rng().random_range(0.0..1.0);
+    let (should_refuse, throttle) = node.load.with_service(service, |load| {
+        let throttle = load.throttle(&call.route.spec.name);
+        let should_refuse = throttle.should_refuse(point, now) && !has_free_slot;
+        let throttle = *throttle;
+        if !throttle.is_overloaded() {
+            load.refusals.record_call();
+        }
+        (should_refuse, throttle)
+    });
+    if should_refuse {
+        log::info!(
+            event = "throttled",
+            request:% = call.loggable_request_id(),
+            route:% = call.route.spec.name,
+            service:% = service,
+            recent_calls = throttle.calls() as u64,
+            recent_admitted = throttle.admitted() as u64;
+            "route"
+        );
+    }
+    should_refuse
+}
+
+/// Counts a call for the throttle, unless all gates that it tried were full.
+fn record_admission(node: &NodeHandle, call: &RoutedCall, response: &Response<NodeBody>) {
+    let reason: Option<RefusalReason> = headers::parsed(response.headers(), &headers::REASON);
+    let is_refused = matches!(
+        reason,
+        Some(RefusalReason::Saturated | RefusalReason::Crowded)
+    );
+    if !is_refused {
+        let now = node.clock.now();
+        node.load.with_service(&call.service.spec.name, |load| {
+            load.throttle(&call.route.spec.name).record_admitted(now);
+        });
+    }
+}
+
 /// Returns a retry delay with random jitter, so that callers that were refused
 /// together don't all retry at once.
 fn jittered_retry_after(retry_after: Duration) -> Duration {
@@ -203,6 +266,23 @@
     }
 }
 
+/// Takes an attempt from the budget for refused calls, if a full gate refused this
+/// one. Returns `false` if none is left.
+fn take_refused_attempt(
+    node: &NodeHandle,
+    service: &ServiceName,
+    reason: Option<RefusalReason>,
+) -> bool {
+    node.load.with_service(service, |load| match reason {
+        Some(RefusalReason::Crowded) => {
+            load.refusals.take_owed();
+            true
+        }
+        Some(RefusalReason::Saturated) => load.refusals.try_take(),
+        Some(_) | None => true,
+    })
+}
+
 fn take_retry_token(node: &NodeHandle, budget: &RetryBudget) -> bool {
     let is_taken = budget.try_take();
     if is_taken {
@@ -390,13 +470,15 @@
     let report = GateReport {
         busy: headers::parsed(map, &headers::BUSY),
         mean_run_time: headers::parsed(map, &headers::MEAN_RUN_US).map(Duration::from_micros),
-        expected_wait: headers::parsed(map, &headers::EXPECTED_WAIT_MS).map(Duration::from_millis),
+        expected_wait: headers::parsed_millis(map, &headers::EXPECTED_WAIT_MS),
+        link_wait: headers::parsed_millis(map, &headers::LINK_WAIT_MS),
     };
     let forbids_retry = map.remove(headers::NO_RETRY).is_some();
     for name in [
         headers::BUSY,
         headers::MEAN_RUN_US,
         headers::EXPECTED_WAIT_MS,
+        headers::LINK_WAIT_MS,
     ] {
         map.remove(name);
     }
@@ -442,6 +524,8 @@
     let ejected_for = node.load.with_service(service, |load| {
         if let Some(busy) = finished.report.busy {
             load.record_load(target.node, busy, now);
+            let link_wait = finished.report.link_wait.unwrap_or_default();
+            load.record_link_wait(target.node, link_wait, now);
         }
         if let Some(mean_run_time) = finished.report.mean_run_time {
             load.record_run_time(target.node, &call.route.spec.name, mean_run_time, now);
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -6,7 +6,7 @@
 
 use http_body_util::Limited;
 use hyper::body::Body;
-use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
 use rand::RngExt;
@@ -20,6 +20,7 @@
 use wisteriaturn::route::limit::RoutePermit;
 
 use crate::gate::answer::refusal;
+use crate::gate::transfer::buffer_limit;
 use crate::http::body::{BodyEnd, BufferedBody, CountedBody, NodeBody, OnEndBody, boxed};
 use crate::http::headers;
 use crate::ingress::attempt::{self, RoutedCall};
@@ -290,7 +291,9 @@
     {
         return Err(RefusalReason::BadRequest);
     }
-    let max_buffered = node.settings.tuning.replay_bytes;
+    // Whether to send the body is agreed on with each gate.
+    parts.headers.remove(EXPECT);
+    let (max_buffered, held_bytes) = buffer_limit(node, &body);
     let max_body = usize::try_from(max_body_bytes(node, &view)).unwrap_or(usize::MAX);
     let read_body = BufferedBody::read(boxed(Limited::new(body, max_body)), max_buffered);
     let body = timeout_at(deadline.at().into(), read_body)
@@ -336,6 +339,7 @@
         fingerprint,
         parts,
         body,
+        held_bytes,
     })
 }
 
--- a/wisteriaturnd/src/ingress/selection.rs
+++ b/wisteriaturnd/src/ingress/selection.rs
@@ -45,14 +45,20 @@
         }
     }
     let choice = choose_excluding(node, call, tried)?;
-    Some(match crowded {
-        [] => choice,
+    let service = &call.service.spec.name;
+    let may_be_sent_on = node
+        .load
+        .with_service(service, |load| load.refusals.has_attempt());
+    Some(if crowded.is_empty() && may_be_sent_on {
+        choice
+    } else {
         // The crowded targets have just reported their load, so the target with the
-        // shortest wait is known.
-        _ => ChosenTarget {
+        // shortest wait is known; or all targets are full, and trying them one by
+        // one would be in vain.
+        ChosenTarget {
             max_wait: Duration::MAX,
             ..choice
-        },
+        }
     })
 }
 
@@ -89,6 +95,7 @@
                     route,
                     requirements,
                     tried: excluded,
+                    own_node: Some(node.address()),
                 };
                 choose_cheapest_target(
                     &node.location,
@@ -127,6 +134,7 @@
     Some(CallRequirements {
         soft_deadline: call.soft_deadline.remaining(now),
         deadline: call.deadline.remaining(now),
+        request_bytes: call.body.size_hint().lower(),
         answer_bytes: estimate.bytes,
         expected_run_time: estimate.run_time,
     })
--- a/wisteriaturnd/src/mesh/hop.rs
+++ b/wisteriaturnd/src/mesh/hop.rs
@@ -25,9 +25,11 @@
 use wisteriaturn::retry::deadline::CallDeadline;
 
 use crate::error::LinkError;
+use crate::gate::transfer::needs_admission;
 use crate::http::body::{NodeBody, empty};
 use crate::http::exchange::{self, ExchangeError, pooled_body};
 use crate::http::headers;
+use crate::http::held_body::hold_body;
 use crate::http::pool::PooledConnection;
 use crate::logs::Sanitized;
 use crate::mesh::peer_client;
@@ -130,6 +132,9 @@
     mut request: Request<NodeBody>,
 ) -> HopResult {
     write_call_headers(request.headers_mut(), call, node.clock.now());
+    if needs_admission(request.body()) {
+        request = hold_body(request);
+    }
     let deadline = call.deadline.at().into();
     loop {
         let connection = match timeout_at(deadline, node.hop_pool.acquire(target.hop)).await {
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -13,12 +13,15 @@
 
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot, watch};
+use wisteriaturn::buffer::{ByteBudget, MAX_HELD_BODY_BYTES};
 use wisteriaturn::clock::{SharedClock, lock};
 use wisteriaturn::config::document::DocumentPort;
 use wisteriaturn::config::view::{ServingView, ViewCell};
 use wisteriaturn::gate::announce::AnnouncementTracker;
 use wisteriaturn::gate::ledger::CallLedger;
 use wisteriaturn::gate::quarantine::SuspectTable;
+use wisteriaturn::gate::slots::SlotGate;
+use wisteriaturn::gate::transfer::CONCURRENT_TRANSFERS;
 use wisteriaturn::ids::{
     BootId, ConfigVersion, DataCentre, Incarnation, NodeAddress, Sequence, ServiceName,
 };
@@ -98,6 +101,10 @@
     pub ledger: CallLedger,
     /// The targets on this VM.
     pub targets: LocalTargets,
+    /// Admits the large bodies of calls from other nodes to the link of this VM.
+    pub transfers: SlotGate,
+    /// Counts the bytes of request bodies that are held in memory.
+    pub held_bytes: ByteBudget,
     /// Connections to the gates of other nodes.
     pub hop_pool: ConnectionPool,
     /// Connections to the local targets.
@@ -289,6 +296,8 @@
             route_limiter: RouteLimiter::new(),
             ledger: CallLedger::new(Arc::clone(&clock)),
             targets: LocalTargets::new(),
+            transfers: SlotGate::new(CONCURRENT_TRANSFERS, Arc::clone(&clock)),
+            held_bytes: ByteBudget::new(MAX_HELD_BODY_BYTES),
             hop_pool: ConnectionPool::for_nodes(
                 settings.keys.clone(),
                 self.addresses.clone(),
