http: end a connection on which interim responses come without end

Change: the callback that counts them makes the next read of that connection fail. The permission to send a held body now survives a request that moves to another connection.

--- a/testing/src/lib.rs
+++ b/testing/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod metrics;
 pub mod plan;
 pub mod process;
+pub mod raw_target;
--- a/tests/integration/process_answers.rs
+++ b/tests/integration/process_answers.rs
@@ -8,6 +8,8 @@
 use tokio::net::TcpStream;
 use wisteriaturn_testing::client;
 use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
+use wisteriaturn_testing::raw_target::{AnswerEnd, RawTarget};
+use yare::parameterized;
 
 async fn portal_cluster(targets: usize) -> Result<TestCluster> {
     let mut cluster = TestCluster::start(ClusterPlan {
@@ -151,3 +153,50 @@
     cluster.remove_folder();
     Ok(())
 }
+
+/// An answer that breaks off must not look complete, however its end is marked.
+#[parameterized(
+    shorter_than_its_length = { "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok", AnswerEnd::Closed },
+    reset_before_its_length = { "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok", AnswerEnd::Reset },
+    without_last_chunk = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n", AnswerEnd::Closed },
+    within_a_chunk = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nok", AnswerEnd::Closed },
+    without_the_end_of_the_last_chunk = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", AnswerEnd::Closed },
+    without_length_and_reset = { "HTTP/1.1 200 OK\r\n\r\nok", AnswerEnd::Reset },
+    within_the_head = { "HTTP/1.1 200 OK\r\ncontent-le", AnswerEnd::Closed },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn an_answer_that_breaks_off_is_no_success(
+    start: &'static str,
+    end: AnswerEnd,
+) -> Result<()> {
+    let cluster = TestCluster::start(ClusterPlan {
+        nodes: 2,
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster
+        .add_service("portal", json!({ "deadline_ms": 2000 }))
+        .await?;
+    let target = RawTarget::start(start, end).await?;
+    target.announce(cluster.admin(0), "portal").await?;
+    cluster.wait_targets(1, "portal", 1).await?;
+    for method in ["GET", "POST"] {
+        // An error means that the node broke off its own answer.
+        if let Ok(reply) = client::send(cluster.ingress(1), method, "/portal", &[], b"").await {
+            assert!(
+                reply.status >= 500,
+                "{method}: {} {}",
+                reply.status,
+                reply.text()
+            );
+            assert_ne!(
+                reply.outcome(),
+                "not-run",
+                "{method}: the call may have run"
+            );
+        }
+        target.announce(cluster.admin(0), "portal").await?;
+    }
+    cluster.remove_folder();
+    Ok(())
+}
--- a/wisteriaturnd/src/http/exchange.rs
+++ b/wisteriaturnd/src/http/exchange.rs
@@ -1,14 +1,13 @@
 //! HTTP exchanges over pooled connections.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use tokio::sync::Notify;
 
 use crate::error::LinkError;
+use crate::http::abortable::AbortHandle;
 use crate::http::body::{BodyEnd, NodeBody, OnEndBody, boxed, with_stall_timeout};
 use crate::http::held_body::SendPermission;
 use crate::http::pool::{ConnectionPool, PooledConnection};
@@ -39,16 +38,8 @@
     connection: &mut PooledConnection,
     mut request: Request<NodeBody>,
 ) -> Result<Response<Incoming>, ExchangeError> {
-    let has_too_many_interim = watch_interim_responses(&mut request);
-    let sent = tokio::select! {
-        sent = connection.sender.try_send_request(request) => sent,
-        () = has_too_many_interim.notified() => {
-            return Err(ExchangeError::Lost(LinkError::Lost(format!(
-                "more than {MAX_INTERIM_RESPONSES} interim responses"
-            ))));
-        }
-    };
-    match sent {
+    watch_interim_responses(&mut request, connection.abort.clone());
+    match connection.sender.try_send_request(request).await {
         Ok(response) => {
             connection.apply_keep_alive(response.headers());
             Ok(response)
@@ -62,15 +53,15 @@
     }
 }
 
-/// Lets a held body be sent once the other side asks for it, and notifies the
-/// returned handle if interim responses come without end.
-fn watch_interim_responses(request: &mut Request<NodeBody>) -> Arc<Notify> {
-    let has_too_many = Arc::new(Notify::new());
-    let permission = request.extensions_mut().remove::<SendPermission>();
-    let (count, notify) = (AtomicU32::new(0), Arc::clone(&has_too_many));
+/// Lets a held body be sent once the other side asks for it, and ends the connection
+/// if interim responses come without end.
+fn watch_interim_responses(request: &mut Request<NodeBody>, abort: AbortHandle) {
+    let permission = request.extensions().get::<SendPermission>().cloned();
+    let count = AtomicU32::new(0);
     hyper::ext::on_informational(request, move |response| {
-        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
-            notify.notify_one();
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+            log::warn!(event = "interim-responses-endless", count = MAX_INTERIM_RESPONSES; "gate");
+            abort.abort();
         }
         if response.status() == StatusCode::CONTINUE
             && let Some(permission) = &permission
@@ -78,7 +69,6 @@
             permission.grant();
         }
     });
-    has_too_many
 }
 
 /// Returns the body of a response. It fails after `timeout` without progress,
--- a/wisteriaturnd/src/http/mod.rs
+++ b/wisteriaturnd/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP listeners, client connections, bodies and headers.
 
+pub mod abortable;
 pub mod body;
 pub mod exchange;
 pub mod headers;
--- a/wisteriaturnd/src/http/pool.rs
+++ b/wisteriaturnd/src/http/pool.rs
@@ -21,6 +21,7 @@
 use wisteriaturn::peer::auth::MeshKeys;
 
 use crate::error::LinkError;
+use crate::http::abortable::{AbortHandle, AbortableStream};
 use crate::http::body::NodeBody;
 use crate::http::headers;
 use crate::http::tcp_timeout;
@@ -56,6 +57,8 @@
     pub boot_id: BootId,
     /// Whether the connection was used for an exchange before.
     pub is_reused: bool,
+    /// Ends the connection while its bytes are being parsed.
+    pub abort: AbortHandle,
     address: SocketAddr,
     idle_timeout: Duration,
 }
@@ -81,6 +84,7 @@
 struct IdleConnection {
     sender: SendRequest<NodeBody>,
     boot_id: BootId,
+    abort: AbortHandle,
     idle_timeout: Duration,
     idle_since: Instant,
 }
@@ -169,6 +173,8 @@
             Some(keys) => handshake::connect(&mut stream, keys, PortKind::Hop).await?,
             None => BootId(0),
         };
+        let abort = AbortHandle::default();
+        let stream = AbortableStream::new(stream, abort.clone());
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -182,6 +188,7 @@
             sender,
             boot_id,
             is_reused: false,
+            abort,
             address,
             idle_timeout: IDLE_TIMEOUT,
         })
@@ -197,6 +204,7 @@
                     sender: connection.sender,
                     boot_id: connection.boot_id,
                     is_reused: true,
+                    abort: connection.abort,
                     address,
                     idle_timeout: connection.idle_timeout,
                 });
@@ -217,6 +225,7 @@
             connections.push(IdleConnection {
                 sender: connection.sender,
                 boot_id: connection.boot_id,
+                abort: connection.abort,
                 idle_timeout: connection.idle_timeout,
                 idle_since: self.clock.now(),
             });
