--- a/tests/integration/embedded_link.rs
+++ b/tests/integration/embedded_link.rs
@@ -19,16 +19,29 @@
 /// reaches the gate of node 0 only through the returned forwarder; node 2 reaches
 /// it directly.
 async fn start() -> Result<(TestCluster, Vec<RunningNode>, Arc<TcpForwarder>)> {
+    start_with_forwarder(3, "dispatch", 8_000, "").await
+}
+
+/// Starts nodes and a target of `service` with one slot at node 0. Node 1 reaches
+/// the gate of node 0 only through the returned forwarder. `tuning` has lines for the
+/// nodes' settings.
+pub(crate) async fn start_with_forwarder(
+    node_count: usize,
+    service: &str,
+    deadline_ms: u64,
+    tuning: &str,
+) -> Result<(TestCluster, Vec<RunningNode>, Arc<TcpForwarder>)> {
     let plan = ClusterPlan {
-        nodes: 3,
+        nodes: node_count,
         strict: false,
+        tuning: tuning.to_owned(),
         ..ClusterPlan::default()
     };
     let mut cluster = TestCluster::prepare(plan)?;
     let log = memory_log();
     let forwarder = Arc::new(TcpForwarder::start(cluster.hop(0)).await?);
     let mut nodes = Vec::new();
-    for index in 0..3 {
+    for index in 0..node_count {
         let settings = NodeSettings::read(&cluster.settings_path(index))?;
         let mut builder = NodeBuilder::new(settings, Arc::new(SystemClock), log.clone());
         if index == 1 {
@@ -45,10 +58,10 @@
     }
     cluster.wait_ready().await?;
     cluster
-        .add_service("dispatch", json!({ "deadline_ms": 8000 }))
+        .add_service(service, json!({ "deadline_ms": deadline_ms }))
         .await?;
-    cluster.start_target(0, "dispatch", 1)?;
-    cluster.wait_targets(1, "dispatch", 1).await?;
+    cluster.start_target(0, service, 1)?;
+    cluster.wait_targets(1, service, 1).await?;
     Ok((cluster, nodes, forwarder))
 }
 
--- a/tests/integration/embedded_upload.rs
+++ b/tests/integration/embedded_upload.rs
@@ -5,58 +5,24 @@
 use std::time::Duration;
 
 use eyre::Result;
-use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use wisteriaturn::clock::SystemClock;
 use wisteriaturn::gate::transfer::MIN_ADMITTED_BODY_BYTES;
 use wisteriaturn_testing::client;
-use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
+use wisteriaturn_testing::cluster::TestCluster;
 use wisteriaturn_testing::forwarder::TcpForwarder;
 use wisteriaturnd::lifecycle::RunningNode;
-use wisteriaturnd::node::{AddressMap, NodeBuilder};
-use wisteriaturnd::settings::NodeSettings;
-use wisteriaturnd::stream::memory::memory_log;
 use yare::parameterized;
 
+use crate::embedded_link::start_with_forwarder;
+
 /// Size of a body that is larger than all socket buffers on the way take unread.
 const LARGE_BODY_BYTES: usize = 200_000;
 
-/// Starts two nodes and a target of `archive` with one slot at node 0. Node 1
-/// reaches the gate of node 0 through the returned forwarder.
+/// Starts two nodes that hold large bodies, and a target of `archive` with one slot
+/// at node 0. Node 1 reaches its gate only through the returned forwarder.
 async fn start() -> Result<(TestCluster, Vec<RunningNode>, Arc<TcpForwarder>)> {
-    let plan = ClusterPlan {
-        nodes: 2,
-        strict: false,
-        tuning: "replay_bytes = 1048576".to_owned(),
-        ..ClusterPlan::default()
-    };
-    let mut cluster = TestCluster::prepare(plan)?;
-    let log = memory_log();
-    let forwarder = Arc::new(TcpForwarder::start(cluster.hop(0)).await?);
-    let mut nodes = Vec::new();
-    for index in 0..2 {
-        let settings = NodeSettings::read(&cluster.settings_path(index))?;
-        let mut builder = NodeBuilder::new(settings, Arc::new(SystemClock), log.clone());
-        if index == 1 {
-            let (hop, forwarder) = (cluster.hop(0), Arc::clone(&forwarder));
-            builder = builder.addresses(AddressMap::new(move |address| {
-                if address == hop {
-                    forwarder.address
-                } else {
-                    address
-                }
-            }));
-        }
-        nodes.push(RunningNode::start(builder).await?);
-    }
-    cluster.wait_ready().await?;
-    cluster
-        .add_service("archive", json!({ "deadline_ms": 5000 }))
-        .await?;
-    cluster.start_target(0, "archive", 1)?;
-    cluster.wait_targets(1, "archive", 1).await?;
-    Ok((cluster, nodes, forwarder))
+    start_with_forwarder(2, "archive", 5_000, "replay_bytes = 1048576").await
 }
 
 /// Occupies the only slot of the target for some seconds. An earlier call shows the
--- a/tests/integration/process_endless.rs
+++ b/tests/integration/process_endless.rs
@@ -15,6 +15,15 @@
 /// Growth of a node's memory that endless bytes may cause, in KiB.
 const MAX_MEMORY_GROWTH_KIB: u64 = 32 * 1024;
 
+/// Waits until the node has closed all its connections to a target.
+async fn wait_until_closed(cluster: &TestCluster, target: &RawTarget) -> Result<()> {
+    cluster
+        .wait_for("the node to close its connections", async || {
+            target.open_connections() == 0
+        })
+        .await
+}
+
 /// Returns the resident memory of a process in KiB.
 fn resident_kib(pid: u32) -> Result<u64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
@@ -73,12 +82,7 @@
         }
         target.announce(cluster.admin(0), "portal").await?;
     }
-    cluster
-        .wait_for(
-            "the node to close its connections to the target",
-            async || target.open_connections() == 0,
-        )
-        .await?;
+    wait_until_closed(&cluster, &target).await?;
     let after = resident_kib(cluster.node_pid(0))? + resident_kib(cluster.node_pid(1))?;
     let growth = after.saturating_sub(before);
     assert!(
@@ -120,12 +124,7 @@
         assert_eq!((reply.status, reply.text().as_str()), (200, "ok"));
         target.announce(cluster.admin(0), "portal").await?;
     }
-    cluster
-        .wait_for(
-            "the node to close its connections to the target",
-            async || target.open_connections() == 0,
-        )
-        .await?;
+    wait_until_closed(&cluster, &target).await?;
     cluster.remove_folder();
     Ok(())
 }
