retry: count calls for the throttle when they end

The kept log shows event=throttled recent_calls=6 recent_admitted=1: six calls were in flight, and calls counted when they began, so a burst after idleness looked like an overload. Change: an attempted call counts when it ends, admitted or not; one that is refused at the ingress counts at once. Ruled out: full gates (none refused in that log) and the planned stop itself (no node was stopping yet). Before: the new test of 100 calls in flight would refuse nearly all by the old count (read, not run). After: it refuses none; the throttle's table is unchanged.

--- a/src/retry/throttle.rs
+++ b/src/retry/throttle.rs
@@ -28,7 +28,7 @@
 /// from chance.
 const MIN_CALLS: f64 = 5.0;
 
-/// Recent calls of one route and those that were admitted.
+/// Recent calls of one route that have ended, and those that were admitted.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct CallThrottle {
     calls: f64,
@@ -37,12 +37,17 @@
 }
 
 impl CallThrottle {
-    /// Decides whether to refuse a call without an attempt, and counts the call.
+    /// Decides whether to refuse a call without an attempt, and counts a refusal.
     /// `point` is a random number from 0 to 1.
+    ///
+    /// A call that is attempted counts when it ends. If it counted before, calls in
+    /// flight would look like refused ones.
     pub fn should_refuse(&mut self, point: f64, now: Instant) -> bool {
         self.decay(now);
         let should_refuse = self.is_overloaded() && point < self.excess() / (self.calls + 1.0);
-        self.calls += 1.0;
+        if should_refuse {
+            self.calls += 1.0;
+        }
         should_refuse
     }
 
@@ -56,11 +61,14 @@
         self.calls - self.admitted * ATTEMPTS_PER_ADMITTED
     }
 
-    /// Counts a call that a gate admitted, or that ended for another reason than a
-    /// full service.
-    pub fn record_admitted(&mut self, now: Instant) {
+    /// Counts an attempted call that has ended. It was admitted if a gate admitted it
+    /// or if it ended for another reason than a full service.
+    pub fn record_end(&mut self, is_admitted: bool, now: Instant) {
         self.decay(now);
-        self.admitted += 1.0;
+        self.calls += 1.0;
+        if is_admitted {
+            self.admitted += 1.0;
+        }
     }
 
     /// Returns the number of recent calls, each weighted by its age.
--- a/tests/integration/overload_rules.rs
+++ b/tests/integration/overload_rules.rs
@@ -41,10 +41,9 @@
                 continue;
             }
             reached += 1;
-            if admitted < capacity {
-                admitted += 1;
-                throttle.record_admitted(clock.now());
-            }
+            let is_admitted = admitted < capacity;
+            admitted += u32::from(is_admitted);
+            throttle.record_end(is_admitted, clock.now());
         }
     }
     reached
@@ -87,7 +86,19 @@
 fn a_few_refused_calls_are_no_overload() {
     let now = Instant::now();
     let mut throttle = CallThrottle::default();
-    assert!((0..4).all(|_| !throttle.should_refuse(0.0, now)));
+    for _ in 0..4 {
+        throttle.record_end(false, now);
+        assert!(!throttle.should_refuse(0.0, now));
+    }
+    throttle.record_end(false, now);
+    assert!(throttle.should_refuse(0.0, now), "a fifth one is");
+}
+
+#[test]
+fn calls_in_flight_are_no_overload() {
+    let now = Instant::now();
+    let mut throttle = CallThrottle::default();
+    assert!((0..100).all(|_| !throttle.should_refuse(0.0, now)));
 }
 
 #[test]
--- a/wisteriaturnd/src/ingress/overload.rs
+++ b/wisteriaturnd/src/ingress/overload.rs
@@ -42,8 +42,8 @@
     should_refuse
 }
 
-/// Counts a call that ended for `reason` for the throttle, unless all gates that it
-/// tried were full.
+/// Counts a call that ended for `reason` for the throttle, as admitted unless all
+/// gates that it tried were full.
 pub(crate) fn record_admission(
     node: &NodeHandle,
     call: &RoutedCall,
@@ -53,12 +53,11 @@
         reason,
         Some(RefusalReason::Saturated | RefusalReason::Crowded)
     );
-    if !is_refused {
-        let now = node.clock.now();
-        node.load.with_service(&call.service.spec.name, |load| {
-            load.throttle(&call.route.spec.name).record_admitted(now);
-        });
-    }
+    let now = node.clock.now();
+    node.load.with_service(&call.service.spec.name, |load| {
+        load.throttle(&call.route.spec.name)
+            .record_end(!is_refused, now);
+    });
 }
 
 /// Takes an attempt from the budget for refused calls, if a full gate refused this
