retry: count a call that is made after all once

Cause: found on reading the change again. A call that the throttle would refuse was counted as refused also where it is made since the target beside it has a free slot, and counted again at its end, so such nodes throttled too much. Change: the decision counts nothing; a refusal is counted where it is made. The pages of the two modules say what the code does (an attempt is earned by each call, a recovery takes some seconds). Before: the new test failed with 20 calls for 10. Ruled out: a change of the throttle's table, which is as it was.

--- a/src/retry/refused.rs
+++ b/src/retry/refused.rs
@@ -6,9 +6,9 @@
 //! as well, and costs both nodes about as much as a call that runs: at ten
 //! refused attempts for each run, small VMs do little else, and the overload
 //! outlasts its cause. So each call of a route that is not throttled earns an
-//! attempt, and an attempt after a refusal takes one. While none is left, calls wait at the
-//! first gate that admits them, and a call that is refused there is refused to its
-//! caller.
+//! attempt, and an attempt after a refusal takes one. While none is left, calls
+//! wait at the first gate that admits them, and a call that is refused there is
+//! refused to its caller.
 //!
 //! This is separate from the budget of retries that reached a target
 //! ([`crate::retry::budget`]): a refused attempt costs no target anything.
@@ -36,7 +36,7 @@
 }
 
 impl RefusalBudget {
-    /// Records a call, which earns a part of an attempt.
+    /// Records a call, which earns an attempt.
     pub fn record_call(&mut self) {
         self.attempts = (self.attempts + EARNED_PER_CALL).min(MAX_SAVED);
     }
--- a/src/retry/throttle.rs
+++ b/src/retry/throttle.rs
@@ -6,7 +6,7 @@
 //! compares how many calls of a route it made lately with how many were admitted,
 //! and refuses the part by which the calls exceed the admitted ones by more than
 //! a margin. The margin keeps some calls probing: as soon as gates admit more, so
-//! does the ingress, within a second or two.
+//! does the ingress, within some seconds.
 //!
 //! The trade-off: an ingress learns from its own calls only, so while a service
 //! recovers, some calls are refused although a slot would have been free. The
@@ -37,18 +37,19 @@
 }
 
 impl CallThrottle {
-    /// Decides whether to refuse a call without an attempt, and counts a refusal.
-    /// `point` is a random number from 0 to 1.
+    /// Decides whether to refuse a call without an attempt. `point` is a random number
+    /// from 0 to 1.
     ///
-    /// A call that is attempted counts when it ends. If it counted before, calls in
-    /// flight would look like refused ones.
+    /// A call that is refused counts with [`Self::record_refusal`], any other when it
+    /// ends. If it counted before, calls in flight would look like refused ones.
     pub fn should_refuse(&mut self, point: f64, now: Instant) -> bool {
         self.decay(now);
-        let should_refuse = self.is_overloaded() && point < self.excess() / (self.calls + 1.0);
-        if should_refuse {
-            self.calls += 1.0;
-        }
-        should_refuse
+        self.is_overloaded() && point < self.excess() / (self.calls + 1.0)
+    }
+
+    /// Counts a call that was refused without an attempt.
+    pub fn record_refusal(&mut self, now: Instant) {
+        self.record_end(false, now);
     }
 
     /// Returns `true` if the service admits so few calls that some are refused here.
--- a/tests/integration/overload_rules.rs
+++ b/tests/integration/overload_rules.rs
@@ -38,6 +38,7 @@
             // Each of the points from 0 to 1 comes up equally often.
             let point = f64::from(number * 7 % calls) / f64::from(calls);
             if throttle.should_refuse(point, clock.now()) {
+                throttle.record_refusal(clock.now());
                 continue;
             }
             reached += 1;
@@ -94,6 +95,20 @@
     assert!(throttle.should_refuse(0.0, now), "a fifth one is");
 }
 
+#[test]
+fn a_call_that_is_made_after_all_counts_once() {
+    // A call is made in spite of the throttle if the target beside it has a free slot.
+    let now = Instant::now();
+    let mut throttle = CallThrottle::default();
+    for _ in 0..10 {
+        throttle.record_end(false, now);
+    }
+    for _ in 0..10 {
+        assert!(throttle.should_refuse(0.0, now));
+    }
+    assert_eq!(throttle.calls().round(), 10.0);
+}
+
 #[test]
 fn calls_in_flight_are_no_overload() {
     let now = Instant::now();
--- a/wisteriaturnd/src/ingress/overload.rs
+++ b/wisteriaturnd/src/ingress/overload.rs
@@ -22,6 +22,9 @@
     let (should_refuse, throttle) = node.load.with_service(service, |load| {
         let throttle = load.throttle(&call.route.spec.name);
         let should_refuse = throttle.should_refuse(point, now) && !has_free_slot;
+        if should_refuse {
+            throttle.record_refusal(now);
+        }
         let throttle = *throttle;
         if !throttle.is_overloaded() {
             load.refusals.record_call();
