--- a/src/error.rs
+++ b/src/error.rs
@@ -49,6 +49,30 @@
 
 impl std::error::Error for NameError {}
 
+/// A text or number that is not a rate of requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RateError(pub String);
+
+impl fmt::Display for RateError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is not a number of requests per second", self.0)
+    }
+}
+
+impl std::error::Error for RateError {}
+
+/// A text that is not the notice of a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NoticeError(pub String);
+
+impl fmt::Display for NoticeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is not a notice of a target", self.0)
+    }
+}
+
+impl std::error::Error for NoticeError {}
+
 /// An error in encoding or decoding a log record or a message between nodes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[non_exhaustive]
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -10,6 +10,7 @@
 pub mod announce;
 pub mod claim;
 pub mod ledger;
+pub mod notice;
 pub mod outcome;
 pub mod quarantine;
 pub mod slots;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::error::NameError;
+use serde::{Deserialize, Serialize};
+
+use crate::error::{NameError, RateError};
 
 /// Maximum length of a name in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
@@ -15,6 +17,9 @@
 /// Maximum length of a path or a host name in bytes.
 pub const MAX_PATH_BYTES: usize = 512;
 
+/// Maximum value of a [`RequestRate`] in requests per second.
+const MAX_REQUESTS_PER_SECOND: f64 = 1e9;
+
 /// The address of a node's peer port, which identifies the node: a VM that is
 /// replaced at the same address is the same member with a higher
 /// [`Incarnation`].
@@ -51,6 +56,47 @@
     LinkRate(u32);
 }
 
+/// A number of requests per second, to a thousandth.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct RequestRate(u64);
+
+impl RequestRate {
+    /// Returns the rate in requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 / 1_000.0
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = RateError;
+
+    fn try_from(per_second: f64) -> Result<Self, Self::Error> {
+        if (0.0..=MAX_REQUESTS_PER_SECOND).contains(&per_second) {
+            Ok(Self((per_second * 1_000.0) as u64))
+        } else {
+            Err(RateError(per_second.to_string()))
+        }
+    }
+}
+
+impl std::str::FromStr for RequestRate {
+    type Err = RateError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let per_second: f64 = text.parse().map_err(|_| RateError(text.to_owned()))?;
+        Self::try_from(per_second)
+    }
+}
+
+impl std::fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.per_second().fmt(f)
+    }
+}
+
 impl LinkRate {
     /// Returns the time needed to transfer `bytes` over the link, or zero when
     /// its bandwidth is unknown.
--- a/testing/src/lib.rs
+++ b/testing/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod plan;
 pub mod process;
 pub mod raw_target;
+pub mod stating_target;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -21,6 +21,7 @@
 mod process_config;
 mod process_endless;
 mod process_input;
+mod process_limit;
 mod process_once;
 mod process_path;
 mod process_pipeline;
--- a/wisteriaturnd/src/gate/mod.rs
+++ b/wisteriaturnd/src/gate/mod.rs
@@ -5,6 +5,7 @@
 pub mod answer;
 pub mod answer_kind;
 pub mod crash;
+mod notice;
 pub mod port;
 pub mod run;
 pub mod send;
--- a/wisteriaturnd/src/gate/send.rs
+++ b/wisteriaturnd/src/gate/send.rs
@@ -1,6 +1,8 @@
 //! Sends admitted calls to their target and verifies that the response is the
 //! answer to the call.
 
+use std::time::Instant;
+
 use hyper::body::Incoming;
 use hyper::header::ACCEPT_ENCODING;
 use hyper::{Request, Response};
@@ -8,6 +10,7 @@
 use wisteriaturn::gate::outcome::RefusalReason;
 
 use crate::gate::answer_kind::AnswerKind;
+use crate::gate::notice;
 use crate::gate::targets::{self, LocalTarget};
 use crate::http::body::{BufferedBody, NodeBody};
 use crate::http::exchange::{self, ExchangeError, pooled_body};
@@ -51,10 +54,17 @@
     let may_encode = map.contains_key(ACCEPT_ENCODING);
     let deadline = call.deadline.at().into();
     loop {
+        let sent_at = node.clock.now();
         let sent = timeout_at(deadline, exchange::send(&mut connection, request)).await;
         match sent {
             Ok(Ok(response)) => {
-                return check(node, call, target, may_encode, response, connection).await;
+                let sent = SentCall {
+                    call,
+                    target,
+                    may_encode,
+                    sent_at,
+                };
+                return check(node, sent, response, connection).await;
             }
             Ok(Err(ExchangeError::Unsent(unsent))) if connection.is_reused => {
                 request = *unsent;
@@ -69,22 +79,33 @@
     }
 }
 
+/// A call that was sent to its target.
+struct SentCall<'a> {
+    call: &'a GateCall,
+    target: &'a LocalTarget,
+    /// Whether the request has an `Accept-Encoding` header.
+    may_encode: bool,
+    sent_at: Instant,
+}
+
 /// Checks whether a response is the target's answer to this call, and logs it if
-/// it is not.
+/// it is not. Records what the target states in its answer.
 async fn check(
     node: &NodeHandle,
-    call: &GateCall,
-    target: &LocalTarget,
-    may_encode: bool,
+    sent: SentCall<'_>,
     response: Response<Incoming>,
     connection: PooledConnection,
 ) -> SendOutcome {
+    let SentCall { call, target, .. } = sent;
     let kind = AnswerKind::classify(
         &node.edge_headers,
         call.request_id.as_ref(),
-        may_encode,
+        sent.may_encode,
         &response,
     );
+    if matches!(kind, AnswerKind::Own | AnswerKind::NotRun) {
+        notice::record_answer(node, call, target, response.headers(), sent.sent_at);
+    }
     if kind != AnswerKind::Own {
         log::warn!(
             event = "answer-refused",
--- a/wisteriaturnd/src/gate/targets.rs
+++ b/wisteriaturnd/src/gate/targets.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use wisteriaturn::clock::lock;
 use wisteriaturn::gate::announce::AnnouncementSummary;
+use wisteriaturn::gate::notice::LimitTracker;
 use wisteriaturn::gate::slots::SlotGate;
 use wisteriaturn::ids::{Incarnation, InstanceId, Sequence, ServiceName, SlotCount};
 use wisteriaturn::member::record::{MAX_TARGETS, TargetDeparture, TargetRecord, TargetState};
@@ -115,6 +116,8 @@
     pub incarnation: Incarnation,
     /// Gate that limits the concurrent calls.
     pub gate: SlotGate,
+    /// The limit that the target names in its answers.
+    pub limit: Mutex<LimitTracker>,
     slots: Mutex<SlotCount>,
     is_draining: Mutex<bool>,
     expires_at: Mutex<Instant>,
@@ -259,6 +262,7 @@
         instance: announcement.instance.clone(),
         incarnation: announcement.incarnation,
         gate: SlotGate::new(announcement.slots.0, Arc::clone(&node.clock)),
+        limit: Mutex::default(),
         slots: Mutex::new(announcement.slots),
         is_draining: Mutex::new(false),
         expires_at: Mutex::new(expires_at),
--- a/wisteriaturnd/src/http/headers.rs
+++ b/wisteriaturnd/src/http/headers.rs
@@ -81,6 +81,11 @@
     /// Set on every successful response of a target, or `None` if targets do not
     /// stamp their responses.
     pub response_stamp: Option<HeaderName>,
+    /// Rate of requests, in requests per second, that a target accepts from all
+    /// callers together. Set in each answer for as long as the limit holds.
+    pub target_limit: HeaderName,
+    /// Set to anything but `0` in each answer of a target that is leaving.
+    pub target_leaving: HeaderName,
     /// Whether callers accept a `Retry-After` with fractions of a second.
     pub has_fractional_retry_after: bool,
 }
@@ -95,6 +100,8 @@
             caller_service: HeaderName::from_static("wisteriaturn-caller-service"),
             not_run: HeaderName::from_static("wisteriaturn-not-run"),
             response_stamp: None,
+            target_limit: HeaderName::from_static("wisteriaturn-target-limit"),
+            target_leaving: HeaderName::from_static("wisteriaturn-target-leaving"),
             has_fractional_retry_after: false,
         }
     }
