gate: keep the rate that a target names in its answers

Callers saw nothing; targets in trouble got two to three times the rate that they named (LIMIT). Gates bounded how many calls run at once and nothing bounded calls per second; the header was read by nobody.

The gate keeps the limit beside its slots, since all requests pass it. A call takes a token when it starts; the wait for one is part of the gate's expected wait, and so of Retry-After and of the cost of the target at every ingress. An answer ends a limit only if its request was sent after the limit was last named. A restarted gate is told by the nodes that call it.

--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -13,5 +13,6 @@
 pub mod notice;
 pub mod outcome;
 pub mod quarantine;
+pub mod rate;
 pub mod slots;
 pub mod transfer;
--- a/src/gate/slots.rs
+++ b/src/gate/slots.rs
@@ -1,4 +1,4 @@
-//! Concurrency limit of a target, with a short, deadline-aware queue.
+//! Concurrency and rate limit of a target, with a short, deadline-aware queue.
 //!
 //! The queue is designed for overloads that last some seconds. If calls were
 //! served in order of arrival during an overload, all of them would be late,
@@ -19,12 +19,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use tokio::sync::oneshot;
+use tokio::sync::futures::OwnedNotified;
+use tokio::sync::{Notify, oneshot};
 
 use crate::clock::{SharedClock, lock};
 use crate::config::resource::CallClass;
 use crate::gate::outcome::RefusalReason;
-use crate::ids::CallPriority;
+use crate::gate::rate::TokenBucket;
+use crate::ids::{CallPriority, RequestRate};
 use crate::invariant::{Invariant, check};
 
 /// Maximum number of waiting calls per slot.
@@ -48,6 +50,9 @@
 /// 1 / `MEAN_RUN_TIME_DIVISOR`.
 const MEAN_RUN_TIME_DIVISOR: u32 = 8;
 
+/// Minimum time between two checks whether the limit allows a waiting call.
+const MIN_START_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The rank of a call in the queue: by class, then by priority.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueRank {
@@ -111,12 +116,15 @@
     next_sequence: u64,
     waiting: BTreeMap<QueueKey, WaitingCall>,
     mean_run_time: Duration,
+    /// Limits the rate of calls if the target has named a limit.
+    bucket: Option<TokenBucket>,
 }
 
 /// Admits calls to a target. Clones are cheap and share the slots and the queue.
 #[derive(Debug, Clone)]
 pub struct SlotGate {
     state: Arc<Mutex<GateState>>,
+    limit_changed: Arc<Notify>,
     clock: SharedClock,
 }
 
@@ -138,19 +146,29 @@
     pub waiting: usize,
     /// Moving average of the time for which calls hold a slot.
     pub mean_run_time: Duration,
+    /// Limit on the rate of calls, if the target has named one.
+    pub limit: Option<RequestRate>,
+    /// Time until the limit allows an additional call.
+    pub limit_wait: Duration,
 }
 
 impl GateLoad {
-    /// Returns the time after which an additional call can expect a slot.
+    /// Returns the time after which an additional call can expect to start.
     pub fn expected_wait(&self) -> Duration {
-        if self.busy < self.slots && self.waiting == 0 {
-            return Duration::ZERO;
-        }
-        // With all slots in use, one call finishes every `mean_run_time / slots`.
-        let slots = u32::try_from(self.slots.max(1)).unwrap_or(u32::MAX);
-        let ahead = u32::try_from(self.waiting + 1).unwrap_or(u32::MAX);
-        self.mean_run_time / slots * ahead
+        slot_wait(self.slots, self.busy, self.waiting, self.mean_run_time).max(self.limit_wait)
+    }
+}
+
+/// Returns the time after which a call with `ahead` calls in front of it in the queue
+/// can expect a slot.
+fn slot_wait(slots: usize, busy: usize, ahead: usize, mean_run_time: Duration) -> Duration {
+    if busy + ahead < slots {
+        return Duration::ZERO;
     }
+    // With all slots in use, one call finishes every `mean_run_time / slots`.
+    let slots = u32::try_from(slots.max(1)).unwrap_or(u32::MAX);
+    let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+    mean_run_time / slots * ahead
 }
 
 impl SlotGate {
@@ -164,7 +182,9 @@
                 next_sequence: 0,
                 waiting: BTreeMap::new(),
                 mean_run_time: Duration::ZERO,
+                bucket: None,
             })),
+            limit_changed: Arc::default(),
             clock,
         }
     }
@@ -176,6 +196,47 @@
         self.assign_free_slots();
     }
 
+    /// Changes or removes the limit on the rate of calls.
+    pub fn set_limit(&self, limit: Option<RequestRate>) {
+        let now = self.clock.now();
+        {
+            let mut state = lock(&self.state);
+            match (&mut state.bucket, limit) {
+                (Some(bucket), Some(limit)) => bucket.set_limit(limit, now),
+                (bucket, limit) => *bucket = limit.map(|limit| TokenBucket::new(limit, now)),
+            }
+        }
+        self.limit_changed.notify_waiters();
+        self.assign_free_slots();
+    }
+
+    /// Returns a future that completes when the limit is changed after this call.
+    pub fn limit_changed(&self) -> OwnedNotified {
+        Arc::clone(&self.limit_changed).notified_owned()
+    }
+
+    /// Returns when [`Self::start_waiting`] should be called next, because the limit may
+    /// allow a waiting call by then, or `None` if there is no limit. Ends of calls are
+    /// noticed without that.
+    pub fn next_start(&self) -> Option<Instant> {
+        let now = self.clock.now();
+        let state = lock(&self.state);
+        let bucket = state.bucket.as_ref()?;
+        let wait = bucket.wait_for(1, now);
+        // With a token left, the calls wait for a slot, and may use up the token.
+        let wait = if wait.is_zero() {
+            bucket.interval()
+        } else {
+            wait
+        };
+        Some(now + wait.max(MIN_START_INTERVAL))
+    }
+
+    /// Starts the waiting calls that the slots and the limit allow.
+    pub fn start_waiting(&self) {
+        self.assign_free_slots();
+    }
+
     /// Refuses all waiting calls and all calls that arrive until
     /// [`Self::resume`] is called.
     pub fn drain(&self) {
@@ -196,12 +257,15 @@
 
     /// Returns the current load of the gate.
     pub fn load(&self) -> GateLoad {
+        let now = self.clock.now();
         let state = lock(&self.state);
         GateLoad {
             slots: state.slots,
             busy: state.busy,
             waiting: state.waiting.len(),
             mean_run_time: state.mean_run_time,
+            limit: state.bucket.map(|bucket| bucket.limit()),
+            limit_wait: state.limit_wait(state.waiting.len(), now),
         }
     }
 
@@ -248,13 +312,12 @@
         if now >= request.deadline {
             return Err(RefusalReason::Deadline);
         }
-        if state.busy < state.slots && state.waiting.is_empty() {
-            state.busy += 1;
+        if state.waiting.is_empty() && state.try_take_slot(now) {
             return Ok(Admission::Admitted(self.permit(now)));
         }
         let key_bound = (request.rank, request.soft_deadline, u64::MAX);
         let ahead = state.waiting.range(..key_bound).count();
-        let wait = state.expected_wait(ahead);
+        let wait = state.expected_wait(ahead, now);
         if wait > request.max_wait {
             return Err(RefusalReason::Crowded);
         }
@@ -280,23 +343,21 @@
         }
     }
 
-    /// Assigns free slots to waiting calls, skipping those whose caller gave up.
+    /// Assigns free slots to waiting calls as far as the limit allows, skipping those
+    /// whose caller gave up.
     fn assign_free_slots(&self) {
         let now = self.clock.now();
         self.shed_waiting(now);
         loop {
             let mut state = lock(&self.state);
-            if state.busy >= state.slots {
+            state.remove_closed();
+            if state.waiting.is_empty() || !state.try_take_slot(now) {
                 return;
             }
             let Some(call) = state.take_next(now) else {
                 return;
             };
-            if call.sender.is_closed() {
-                continue;
-            }
             check(Invariant::DrainedGate, !state.is_draining);
-            state.busy += 1;
             drop(state);
             // If the receiver is gone, `send` returns the permit, and dropping it
             // frees the slot again.
@@ -330,11 +391,32 @@
 impl GateState {
     /// Returns the expected wait of a call with `ahead` calls in front of it in
     /// the queue.
-    fn expected_wait(&self, ahead: usize) -> Duration {
-        // With all slots in use, one call finishes every `mean_run_time / slots`.
-        let slots = u32::try_from(self.slots.max(1)).unwrap_or(u32::MAX);
-        let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        self.mean_run_time / slots * ahead
+    fn expected_wait(&self, ahead: usize, now: Instant) -> Duration {
+        slot_wait(self.slots, self.busy, ahead, self.mean_run_time).max(self.limit_wait(ahead, now))
+    }
+
+    /// Returns the time until the limit allows a call with `ahead` calls in front of it.
+    fn limit_wait(&self, ahead: usize, now: Instant) -> Duration {
+        self.bucket
+            .map_or(Duration::ZERO, |bucket| bucket.wait_for(ahead + 1, now))
+    }
+
+    /// Takes a slot for a call that starts now, if one is free and the limit allows it.
+    fn try_take_slot(&mut self, now: Instant) -> bool {
+        let may_start = self.busy < self.slots
+            && self
+                .bucket
+                .as_mut()
+                .is_none_or(|bucket| bucket.try_take(now));
+        if may_start {
+            self.busy += 1;
+        }
+        may_start
+    }
+
+    /// Removes the waiting calls whose caller gave up.
+    fn remove_closed(&mut self) {
+        self.waiting.retain(|_, call| !call.sender.is_closed());
     }
 
     fn can_queue_late(&self, now: Instant) -> bool {
@@ -382,7 +464,7 @@
     /// whichever would be served later.
     fn ensure_capacity(&mut self, request: &SlotRequest) -> Result<(), RefusalReason> {
         // Calls whose caller gave up must not count against the limit.
-        self.waiting.retain(|_, call| !call.sender.is_closed());
+        self.remove_closed();
         if self.waiting.len() < self.slots.max(1) * MAX_QUEUED_PER_SLOT {
             return Ok(());
         }
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -297,6 +297,7 @@
     let target_load = load.get(target);
     let fill = (f64::from(target_load.busy(now)) + 1.0) / f64::from(target.slots.max(1));
     let mut score = fill * (target_load.latency + LATENCY_OFFSET_SECS);
+    score += target_load.limit_wait(now).as_secs_f64();
     score /= slow_start_factor(now.duration_since(target.serving_since), policy);
     if target.is_suspect {
         score *= SUSPECT_FACTOR;
--- a/src/route/cost.rs
+++ b/src/route/cost.rs
@@ -140,6 +140,7 @@
                 transfer_time(target, target_load.link_wait(now), request.requirements)
             },
             candidate: candidate.clone(),
+            limit_wait: target_load.limit_wait(now),
             run_time: target_load
                 .mean_run_time(request.route, now)
                 .unwrap_or(request.requirements.expected_run_time),
@@ -194,6 +195,8 @@
     /// Time that the bodies of the request and the answer take on the link of the
     /// target's VM.
     transfer_time: Duration,
+    /// Time until the limit on the rate of the target's calls allows another one.
+    limit_wait: Duration,
     fixed_cost: f64,
 }
 
@@ -210,10 +213,13 @@
     /// call gets there after `delay`.
     fn expected_cost(&self, requirements: &CallRequirements, delay: Duration) -> f64 {
         let full_cost = fill(&self.candidate).powi(2) * FULL_TARGET_COST;
-        self.cost_for_time(
-            requirements,
-            delay + completion_time(&self.candidate, self.run_time),
-        ) + full_cost
+        self.cost_for_time(requirements, delay + self.completion_time()) + full_cost
+    }
+
+    /// Returns the expected time until the call ends at the estimated load. A call waits
+    /// for its slot and for the limit at the same time.
+    fn completion_time(&self) -> Duration {
+        completion_time(&self.candidate, self.run_time).max(self.limit_wait + self.run_time)
     }
 
     /// Returns the cost if the call waits for a slot for `wait`, which means
--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -1,5 +1,5 @@
-//! Per-target statistics of one node: calls in flight, reported load, latency
-//! and failures.
+//! Per-target statistics of one node: calls in flight, reported load and limits,
+//! latency and failures.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, RwLock};
@@ -8,7 +8,8 @@
 use crate::clock::lock;
 use crate::config::resource::PolicySpec;
 use crate::config::view::TargetEntry;
-use crate::ids::{Incarnation, NodeAddress, RouteName, ServiceName};
+use crate::gate::notice::TargetNotice;
+use crate::ids::{Incarnation, NodeAddress, RequestRate, RouteName, ServiceName};
 use crate::retry::refused::RefusalBudget;
 use crate::retry::throttle::CallThrottle;
 
@@ -21,6 +22,12 @@
 /// How long a target that refused a call as full is not chosen.
 pub const FULL_BACKOFF: Duration = Duration::from_millis(20);
 
+/// How long a node remembers what a target stated, for its gate.
+pub const NOTICE_TTL: Duration = Duration::from_secs(30);
+
+/// Lowest rate for which the wait at a limited target is estimated.
+const MIN_LIMIT_PER_SECOND: f64 = 0.1;
+
 /// Maximum time for which a target is ejected.
 pub const MAX_EJECTION_TIME: Duration = Duration::from_secs(60);
 
@@ -60,6 +67,21 @@
     /// The wait for the link of the gate's VM in its last report, and when it
     /// arrived.
     link_wait: Option<(Instant, Duration)>,
+    limit: Option<ReportedLimit>,
+    /// What the target stated last, and when that arrived. It outlives the incarnation of
+    /// the node, which has forgotten it then.
+    notice: Option<(Instant, TargetNotice)>,
+}
+
+/// The limit of a target on the rate of its calls, as its gate reported it.
+#[derive(Debug, Clone, Copy)]
+struct ReportedLimit {
+    limit: RequestRate,
+    /// Wait of another call at the gate when the report arrived.
+    wait: Duration,
+    reported_at: Instant,
+    /// Calls that this node has sent there since.
+    sent: u32,
 }
 
 /// The mean run time of one route, as reported by a gate.
@@ -109,7 +131,31 @@
             run_times: Vec::new(),
             failure_rate: FailureRate::default(),
             link_wait: None,
+            limit: None,
+            notice: None,
+        }
+    }
+
+    /// Returns the time until the limit on the rate of the target's calls allows another
+    /// one: what the gate last reported, less the time since, and more for each call that
+    /// this node has sent since. Zero without a report within [`REPORT_TTL`].
+    pub fn limit_wait(&self, now: Instant) -> Duration {
+        let Some(reported) = &self.limit else {
+            return Duration::ZERO;
+        };
+        let age = now.saturating_duration_since(reported.reported_at);
+        if age >= REPORT_TTL.max(reported.wait) {
+            return Duration::ZERO;
         }
+        let rate = reported.limit.per_second().max(MIN_LIMIT_PER_SECOND);
+        let own = Duration::from_secs_f64(f64::from(reported.sent) / rate);
+        (reported.wait + own).saturating_sub(age)
+    }
+
+    /// Returns what the target stated last, if that was within [`NOTICE_TTL`].
+    pub fn notice(&self, now: Instant) -> Option<&TargetNotice> {
+        let (heard_at, notice) = self.notice.as_ref()?;
+        (now.saturating_duration_since(*heard_at) < NOTICE_TTL).then_some(notice)
     }
 
     /// Returns the expected wait for the link of the gate's VM: what the gate
@@ -199,16 +245,18 @@
 
 impl ServiceLoad {
     /// Returns the statistics of a target. They are reset when the node of the
-    /// target has a newer incarnation; only the calls in flight are kept.
+    /// target has a newer incarnation; only the calls in flight and
+    /// what the target stated are kept.
     pub fn get(&mut self, target: &TargetEntry) -> &mut TargetLoad {
         let load = self
             .targets
             .entry(target.node)
             .or_insert_with(|| TargetLoad::new(target.incarnation));
         if load.incarnation < target.incarnation {
-            let in_flight = load.in_flight;
+            let (in_flight, notice) = (load.in_flight, load.notice.take());
             *load = TargetLoad::new(target.incarnation);
             load.in_flight = in_flight;
+            load.notice = notice;
         }
         load
     }
@@ -221,17 +269,23 @@
         self.throttles.entry(route.clone()).or_default()
     }
 
-    /// Removes targets that the view no longer has and that have no call in
-    /// flight.
-    pub fn retain_targets(&mut self, targets: &[TargetEntry]) {
+    /// Removes targets that the view no longer has, that have no call in flight and
+    /// that have stated nothing lately.
+    pub fn retain_targets(&mut self, targets: &[TargetEntry], now: Instant) {
         self.targets.retain(|node, load| {
-            load.in_flight > 0 || targets.iter().any(|target| target.node == *node)
+            load.in_flight > 0
+                || load.notice(now).is_some()
+                || targets.iter().any(|target| target.node == *node)
         });
     }
 
     /// Counts an attempt as in flight.
     pub fn start_attempt(&mut self, target: &TargetEntry) {
-        self.get(target).in_flight += 1;
+        let load = self.get(target);
+        load.in_flight += 1;
+        if let Some(reported) = &mut load.limit {
+            reported.sent += 1;
+        }
     }
 
     /// Counts an attempt as no longer in flight. The result is recorded
@@ -257,6 +311,53 @@
         }
     }
 
+    /// Records the limit on the rate of a target's calls that its gate reported with an
+    /// answer, or that there is none, and the wait for another call there.
+    pub fn record_limit(
+        &mut self,
+        node: NodeAddress,
+        limit: Option<RequestRate>,
+        wait: Duration,
+        now: Instant,
+    ) {
+        if let Some(load) = self.targets.get_mut(&node) {
+            load.limit = limit.map(|limit| ReportedLimit {
+                limit,
+                wait,
+                reported_at: now,
+                sent: 0,
+            });
+        }
+    }
+
+    /// Records what a target states about itself, as its gate reported it with the result
+    /// of an attempt that began at `started`.
+    ///
+    /// Nothing stated ends what was stated before only if the attempt began after that and
+    /// the target has answered it: a gate that was restarted knows of nothing at first.
+    pub fn record_notice(
+        &mut self,
+        node: NodeAddress,
+        notice: Option<TargetNotice>,
+        is_answer: bool,
+        started: Instant,
+        now: Instant,
+    ) {
+        let Some(load) = self.targets.get_mut(&node) else {
+            return;
+        };
+        match notice {
+            Some(notice) => load.notice = Some((now, notice)),
+            None if is_answer => {
+                load.notice = load
+                    .notice
+                    .take()
+                    .filter(|(heard_at, _)| started < *heard_at);
+            }
+            None => {}
+        }
+    }
+
     /// Records the mean run time of a route that a gate reported with its
     /// answer.
     ///
--- a/tests/integration/load_rules.rs
+++ b/tests/integration/load_rules.rs
@@ -9,13 +9,14 @@
 use wisteriaturn::clock::{Clock, ManualClock, SharedClock};
 use wisteriaturn::config::resource::{CallClass, PolicySpec};
 use wisteriaturn::config::view::TargetEntry;
+use wisteriaturn::gate::notice::TargetNotice;
 use wisteriaturn::gate::outcome::RefusalReason;
 use wisteriaturn::gate::slots::{QueueRank, SlotGate, SlotRequest};
 use wisteriaturn::ids::{CallPriority, Incarnation, LinkRate, NodeAddress, RouteName};
 use wisteriaturn::retry::budget::{RetryBudget, RetryLimit};
 use wisteriaturn::route::choose::{NodeLocation, TargetChoice};
 use wisteriaturn::route::cost::{CallRequirements, PlacementRequest, choose_cheapest_target};
-use wisteriaturn::route::load::{AttemptResult, ServiceLoad};
+use wisteriaturn::route::load::{AttemptResult, NOTICE_TTL, ServiceLoad};
 
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -307,6 +308,52 @@
     PolicySpec::default_for("portal".parse().expect("valid name"))
 }
 
+#[test]
+fn calls_go_elsewhere_while_a_target_is_at_its_limit() {
+    let mut fixture = SelectionFixture::new();
+    assert_eq!(fixture.choose(1_500.0, 500), Some(0));
+    let limited = fixture.targets[0].clone();
+    let limit = Some("4".parse().expect("a rate"));
+    fixture
+        .load
+        .record_limit(limited.node, limit, ms(600), fixture.now);
+    assert_eq!(fixture.choose(1_500.0, 500), Some(1));
+    // The limit has room again, as far as this node knows.
+    fixture.now += ms(600);
+    assert_eq!(fixture.choose(1_500.0, 500), Some(0));
+    // Each of its own calls takes a quarter of a second of that.
+    for _ in 0..2 {
+        fixture.load.start_attempt(&limited);
+        fixture.load.finish_attempt(limited.node);
+    }
+    assert_eq!(fixture.choose(1_500.0, 500), Some(1));
+    fixture
+        .load
+        .record_limit(limited.node, None, ms(0), fixture.now);
+    assert_eq!(fixture.choose(1_500.0, 500), Some(0), "the limit is over");
+}
+
+#[test]
+fn what_a_target_stated_outlives_the_restart_of_its_node() {
+    let mut load = ServiceLoad::default();
+    let now = Instant::now();
+    let mut entry = target(1, "r1", "r1-a", now);
+    let notice: TargetNotice = "i-1;7;leaving".parse().expect("a notice");
+    load.start_attempt(&entry);
+    load.record_notice(entry.node, Some(notice.clone()), true, now, now);
+    load.finish_attempt(entry.node);
+    load.retain_targets(&[], now);
+    entry.incarnation = Incarnation(2);
+    assert_eq!(load.get(&entry).notice(now), Some(&notice));
+    // The restarted gate has heard nothing yet, and a slow answer says nothing new.
+    load.record_notice(entry.node, None, false, now + ms(10), now + ms(20));
+    load.record_notice(entry.node, None, true, now - ms(10), now + ms(20));
+    assert_eq!(load.get(&entry).notice(now), Some(&notice));
+    assert_eq!(load.get(&entry).notice(now + NOTICE_TTL), None);
+    load.record_notice(entry.node, None, true, now + ms(10), now + ms(20));
+    assert_eq!(load.get(&entry).notice(now), None);
+}
+
 #[test]
 fn calls_stay_local_while_they_are_in_time_there() {
     let mut fixture = SelectionFixture::new();
--- a/wisteriaturnd/src/gate/admit.rs
+++ b/wisteriaturnd/src/gate/admit.rs
@@ -3,6 +3,7 @@
 //! A call that is refused here has not reached its target, so it is answered
 //! as `not-run`. Every decision is logged together with its inputs.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -11,9 +12,10 @@
 use wisteriaturn::clock::lock;
 use wisteriaturn::gate::outcome::RefusalReason;
 use wisteriaturn::gate::quarantine::QuarantineStatus;
-use wisteriaturn::gate::slots::{LIKELY_RUN_FACTOR, QueueRank, SlotPermit, SlotRequest};
+use wisteriaturn::gate::slots::{LIKELY_RUN_FACTOR, QueueRank, SlotGate, SlotPermit, SlotRequest};
 
 use crate::error::LinkError;
+use crate::gate::notice::loggable_limit;
 use crate::gate::targets::{self, LocalTarget};
 use crate::http::pool::PooledConnection;
 use crate::mesh::hop::GateCall;
@@ -57,6 +59,8 @@
         waited_us = waited.as_micros() as u64,
         busy = load.map_or(0, |load| load.busy),
         waiting = load.map_or(0, |load| load.waiting),
+        limit = loggable_limit(load.and_then(|load| load.limit)),
+        limit_wait_ms = load.map_or(0, |load| load.limit_wait.as_millis() as u64),
         aim_ms = call.soft_deadline.remaining(arrival).as_millis() as u64,
         deadline_ms = call.deadline.remaining(arrival).as_millis() as u64;
         "gate"
@@ -123,7 +127,7 @@
     let slot_request = slot_request(node, call, &target);
     let acquired = timeout_at(
         call.deadline.at().into(),
-        target.gate.acquire_for(slot_request),
+        acquire_slot(&target.gate, slot_request),
     )
     .await;
     let permit = acquired.map_err(|_| RefusalReason::Deadline)??;
@@ -140,6 +144,26 @@
     })
 }
 
+/// Waits for a slot. Lets waiting calls start when the limit on their rate allows it,
+/// since the gate itself has no timer.
+async fn acquire_slot(gate: &SlotGate, request: SlotRequest) -> Result<SlotPermit, RefusalReason> {
+    let mut acquired = pin!(gate.acquire_for(request));
+    loop {
+        let limit_changed = gate.limit_changed();
+        let next_start = async {
+            match gate.next_start() {
+                Some(time) => tokio::time::sleep_until(time.into()).await,
+                None => limit_changed.await,
+            }
+        };
+        tokio::select! {
+            biased;
+            result = &mut acquired => return result,
+            () = next_start => gate.start_waiting(),
+        }
+    }
+}
+
 /// Returns the time for which a call is expected to hold its slot: the average
 /// of its route or, if the route has no samples yet, the average of the target.
 fn expected_run_time(node: &NodeHandle, call: &GateCall, target: &LocalTarget) -> Duration {
--- a/wisteriaturnd/src/gate/port.rs
+++ b/wisteriaturnd/src/gate/port.rs
@@ -17,7 +17,7 @@
 use wisteriaturn::retry::deadline::CallDeadline;
 
 use crate::gate::answer::refusal;
-use crate::gate::{run, transfer};
+use crate::gate::{notice, run, transfer};
 use crate::http::body::{NodeBody, boxed, full};
 use crate::http::headers;
 use crate::http::listener::{PortLimits, accept_until_stopped, serve_http};
@@ -68,6 +68,9 @@
     }
     match read_call(node, &request) {
         Some(call) => {
+            if let Some(notice) = &call.notice {
+                notice::record_from_peer(node, &call, notice);
+            }
             let mut request = request.map(boxed);
             headers::strip_mesh(request.headers_mut());
             request.headers_mut().remove(EXPECT);
@@ -126,6 +129,7 @@
             .map_or(Duration::MAX, Duration::from_millis),
         is_idempotent,
         fingerprint: headers::parsed(map, &headers::FINGERPRINT)?,
+        notice: headers::parsed(map, &headers::TARGET_NOTICE),
         key: key.map(|key| KeyHash::of_key(&service, key.as_bytes())),
         service,
     })
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -23,6 +23,7 @@
 use crate::gate::admit::{AdmittedCall, admit, record_run};
 use crate::gate::answer::{inquiry_response, refusal, stored_response};
 use crate::gate::crash::{check_crash, handle_body_end};
+use crate::gate::notice::current_notice;
 use crate::gate::port;
 use crate::gate::send::{SendOutcome, send};
 use crate::http::body::{BodyEnd, BufferedBody, NodeBody, OnEndBody, boxed};
@@ -68,6 +69,9 @@
     if !link_wait.is_zero() {
         headers::set(map, headers::LINK_WAIT_MS, link_wait.as_millis());
     }
+    if let Some(notice) = current_notice(&target) {
+        headers::set(map, headers::TARGET_NOTICE, notice);
+    }
     headers::set(
         map,
         headers::EXPECTED_WAIT_MS,
--- a/wisteriaturnd/src/http/headers.rs
+++ b/wisteriaturnd/src/http/headers.rs
@@ -58,6 +58,10 @@
 /// milliseconds; between nodes.
 pub const EXPECTED_WAIT_MS: HeaderName = HeaderName::from_static("wisteriaturn-room-ms");
 
+/// What a target states about itself: from its gate to other nodes, and back to the gate
+/// if it was restarted since.
+pub const TARGET_NOTICE: HeaderName = HeaderName::from_static("wisteriaturn-target-notice");
+
 /// Expected wait for the link of a gate's VM before it receives another large
 /// body, in milliseconds; between nodes. Absent if there is none.
 pub const LINK_WAIT_MS: HeaderName = HeaderName::from_static("wisteriaturn-link-wait-ms");
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -20,6 +20,7 @@
 use wisteriaturn::buffer::ByteReservation;
 use wisteriaturn::clock::lock;
 use wisteriaturn::config::view::{RouteEntry, ServiceEntry, ServingView, TargetEntry};
+use wisteriaturn::gate::notice::TargetNotice;
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::quarantine::QuarantineStatus;
 use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, NodeAddress};
@@ -112,7 +113,7 @@
 }
 
 /// The load that a gate reports with each response.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct GateReport {
     busy: Option<u32>,
     mean_run_time: Option<Duration>,
@@ -120,6 +121,8 @@
     expected_wait: Option<Duration>,
     /// Expected wait for the link of the gate's VM.
     link_wait: Option<Duration>,
+    /// What the target states about itself.
+    notice: Option<TargetNotice>,
 }
 
 /// The attempts of one call so far.
@@ -270,7 +273,7 @@
     number: usize,
 ) -> FinishedAttempt {
     let target = &chosen.target;
-    let gate_call = gate_call(call, chosen.max_wait);
+    let gate_call = gate_call(node, call, chosen);
     let body = call.body.take_for_attempt().unwrap_or_else(empty);
     let mut request = Request::new(body);
     *request.method_mut() = call.parts.method.clone();
@@ -313,8 +316,12 @@
     }
 }
 
-fn gate_call(call: &RoutedCall, max_wait: Duration) -> GateCall {
+fn gate_call(node: &NodeHandle, call: &RoutedCall, chosen: &ChosenTarget) -> GateCall {
     let service = call.service.spec.name.clone();
+    let now = node.clock.now();
+    let notice = node.load.with_service(&service, |load| {
+        load.get(&chosen.target).notice(now).cloned()
+    });
     let key = call.parts.headers.get(headers::IDEMPOTENCY_KEY);
     GateCall {
         call: CallId(rand::random()),
@@ -324,9 +331,10 @@
         soft_deadline: call.soft_deadline,
         request_id: call.request_id.clone(),
         deadline: call.deadline,
-        max_wait,
+        max_wait: chosen.max_wait,
         is_idempotent: call.is_idempotent,
         fingerprint: call.fingerprint,
+        notice,
         key: key
             .filter(|_| !call.is_idempotent)
             .map(|key| KeyHash::of_key(&service, key.as_bytes())),
@@ -412,6 +420,7 @@
         mean_run_time: headers::parsed(map, &headers::MEAN_RUN_US).map(Duration::from_micros),
         expected_wait: headers::parsed_millis(map, &headers::EXPECTED_WAIT_MS),
         link_wait: headers::parsed_millis(map, &headers::LINK_WAIT_MS),
+        notice: headers::parsed(map, &headers::TARGET_NOTICE),
     };
     let forbids_retry = map.remove(headers::NO_RETRY).is_some();
     for name in [
@@ -419,6 +428,7 @@
         headers::MEAN_RUN_US,
         headers::EXPECTED_WAIT_MS,
         headers::LINK_WAIT_MS,
+        headers::TARGET_NOTICE,
     ] {
         map.remove(name);
     }
@@ -466,7 +476,14 @@
             load.record_load(target.node, busy, now);
             let link_wait = finished.report.link_wait.unwrap_or_default();
             load.record_link_wait(target.node, link_wait, now);
+            let limit = finished.report.notice.as_ref();
+            let limit = limit.and_then(|notice| notice.stated.limit);
+            let wait = finished.report.expected_wait.unwrap_or_default();
+            load.record_limit(target.node, limit, wait, now);
         }
+        let is_answer = finished.outcome == CallOutcome::Done;
+        let notice = finished.report.notice.clone();
+        load.record_notice(target.node, notice, is_answer, started, now);
         if let Some(mean_run_time) = finished.report.mean_run_time {
             load.record_run_time(target.node, &call.route.spec.name, mean_run_time, now);
         }
--- a/wisteriaturnd/src/mesh/gossip.rs
+++ b/wisteriaturnd/src/mesh/gossip.rs
@@ -285,8 +285,9 @@
         let view = node.view.load();
         for service in view.config.services.keys() {
             let targets = view.targets(service);
+            let now = node.clock.now();
             node.load
-                .with_service(service, |load| load.retain_targets(&targets));
+                .with_service(service, |load| load.retain_targets(&targets, now));
         }
         let live = {
             let table = lock(&node.table);
--- a/wisteriaturnd/src/mesh/hop.rs
+++ b/wisteriaturnd/src/mesh/hop.rs
@@ -17,6 +17,7 @@
 use wisteriaturn::config::resource::CallClass;
 use wisteriaturn::config::view::TargetEntry;
 use wisteriaturn::gate::ledger::MAX_STORED_BODY_BYTES;
+use wisteriaturn::gate::notice::TargetNotice;
 use wisteriaturn::gate::outcome::RefusalReason;
 use wisteriaturn::ids::{
     BootId, CallId, CallPriority, Fingerprint, KeyHash, NodeAddress, RouteName, ServiceName,
@@ -77,6 +78,8 @@
     /// Hash of what the target receives. It identifies the same request when it
     /// is sent again.
     pub fingerprint: Fingerprint,
+    /// What the target stated through its gate before, as far as this node knows.
+    pub notice: Option<TargetNotice>,
     /// Hash of the idempotency key. Calls with the same key run at most once.
     pub key: Option<KeyHash>,
 }
@@ -119,6 +122,9 @@
     if call.max_wait < Duration::MAX {
         headers::set(headers, headers::MAX_WAIT_MS, call.max_wait.as_millis());
     }
+    if let Some(notice) = &call.notice {
+        headers::set(headers, headers::TARGET_NOTICE, notice);
+    }
     headers::set(headers, headers::IDEMPOTENT, call.is_idempotent);
     headers::set(headers, headers::FINGERPRINT, call.fingerprint);
 }
