gate: a target that answers that it is leaving gets no new calls

Leaving was read from announcements only. Now the first answer with it drains the gate; the incarnation is recorded as departing with the highest sequence number, so no announcement of it is accepted any more, and the departure is published like an announced one. Ingresses return it to a gate that was restarted before it had published it.

--- a/src/gate/announce.rs
+++ b/src/gate/announce.rs
@@ -8,7 +8,7 @@
 //! instance is known. An address belongs to the latest incarnation announced
 //! there, since late announcements of a terminated target can arrive after
 //! another target has taken over its address. An incarnation that has left is
-//! never accepted again.
+//! never accepted again, nor is one that stated in an answer that it is leaving.
 //!
 //! A node stores nothing on disk, so a late announcement may arrive after the
 //! node was restarted and has lost this state. Departures are therefore
@@ -158,6 +158,40 @@
         })
     }
 
+    /// Marks an incarnation as draining for good, because it stated that it is leaving.
+    /// Returns `true` if it was not known to be departing.
+    ///
+    /// The statement and the announcements of a target overtake each other, so no later
+    /// announcement of this incarnation is accepted.
+    pub fn record_leaving(&mut self, instance: &InstanceId, incarnation: Incarnation) -> bool {
+        let is_later = self
+            .instances
+            .get(instance)
+            .is_some_and(|state| state.incarnation > incarnation);
+        if is_later {
+            return false;
+        }
+        let is_new = !self.is_departing(instance, incarnation);
+        self.evict_oldest(instance);
+        let state = self
+            .instances
+            .entry(instance.clone())
+            .or_insert(InstanceState {
+                incarnation,
+                sequence: Sequence(u64::MAX),
+                address: None,
+                is_draining: true,
+                has_left: false,
+            });
+        if state.incarnation < incarnation {
+            state.has_left = false;
+        }
+        state.incarnation = incarnation;
+        state.sequence = Sequence(u64::MAX);
+        state.is_draining = true;
+        is_new
+    }
+
     /// Marks the latest known incarnation of an instance as left, unless
     /// `incarnation` names an earlier one. Returns `true` if the instance was
     /// known and has been marked.
--- a/tests/integration/target_announcements.rs
+++ b/tests/integration/target_announcements.rs
@@ -62,6 +62,28 @@
     assert!(tracker.accept(announcement("a", 11, 1, 80)));
 }
 
+#[test]
+fn an_incarnation_that_answered_that_it_is_leaving_is_not_undone_by_its_announcements() {
+    let (a, mut tracker) = (instance("a"), AnnouncementTracker::new());
+    assert!(tracker.accept(announcement("a", 10, 5, 80)));
+    assert!(tracker.record_leaving(&a, Incarnation(10)));
+    assert!(!tracker.record_leaving(&a, Incarnation(10)), "said again");
+    assert!(!tracker.accept(announcement("a", 10, 6, 80)));
+    assert!(tracker.is_departing(&a, Incarnation(10)));
+    let mut restarted = AnnouncementTracker::new();
+    assert!(restarted.accept(announcement("a", 10, 6, 80)));
+    assert!(restarted.restore(&tracker.departures()));
+    assert!(!restarted.accept(announcement("a", 10, 7, 80)));
+    for tracker in [&mut tracker, &mut restarted] {
+        assert!(tracker.accept(announcement("a", 11, 0, 80)), "the next one");
+        assert!(
+            !tracker.record_leaving(&a, Incarnation(10)),
+            "a late answer"
+        );
+        assert!(!tracker.is_departing(&a, Incarnation(11)));
+    }
+}
+
 #[test]
 fn departures_are_restored_after_a_node_restart() {
     let mut before = AnnouncementTracker::new();
--- a/wisteriaturnd/src/gate/notice.rs
+++ b/wisteriaturnd/src/gate/notice.rs
@@ -8,9 +8,9 @@
 use hyper::HeaderMap;
 use wisteriaturn::clock::lock;
 use wisteriaturn::gate::notice::{AnswerNotice, TargetNotice};
-use wisteriaturn::ids::RequestRate;
+use wisteriaturn::ids::{Incarnation, InstanceId, RequestRate};
 
-use crate::gate::targets::LocalTarget;
+use crate::gate::targets::{self, LocalTarget};
 use crate::http::headers::{self, EdgeHeaders};
 use crate::logs::Sanitized;
 use crate::mesh::hop::GateCall;
@@ -53,6 +53,14 @@
     if has_changed {
         apply_limit(call, target, limit, NoticeSource::Answer);
     }
+    if stated.is_leaving {
+        targets::start_draining(target);
+        if let Some(instance) = &target.instance {
+            let (incarnation, source) = (target.incarnation, NoticeSource::Answer);
+            record_leaving(node, call, instance, incarnation, source);
+        }
+        targets::spawn_publish(node);
+    }
 }
 
 /// Records what another node remembers of the target that `call` is for, if it is still
@@ -62,20 +70,29 @@
         target.instance.as_ref() == Some(&notice.instance)
             && target.incarnation == notice.incarnation
     });
-    if let Some(target) = &target
-        && lock(&target.limit).adopt(notice.stated.limit, node.clock.now())
-    {
-        apply_limit(call, target, notice.stated.limit, NoticeSource::Peer);
+    if let Some(target) = &target {
+        if lock(&target.limit).adopt(notice.stated.limit, node.clock.now()) {
+            apply_limit(call, target, notice.stated.limit, NoticeSource::Peer);
+        }
+        if notice.stated.is_leaving {
+            targets::start_draining(target);
+        }
+    }
+    if notice.stated.is_leaving {
+        // The target may not have announced itself since this node was restarted.
+        let (instance, incarnation) = (&notice.instance, notice.incarnation);
+        record_leaving(node, call, instance, incarnation, NoticeSource::Peer);
+        targets::spawn_publish(node);
     }
 }
 
 /// Returns what a target has stated that still holds, or `None` if there is nothing or
 /// the target has no name by which other nodes could refer to it.
-pub(crate) fn current_notice(target: &LocalTarget) -> Option<TargetNotice> {
+pub(crate) fn current_notice(node: &NodeHandle, target: &LocalTarget) -> Option<TargetNotice> {
     let instance = target.instance.as_ref()?;
     let stated = AnswerNotice {
         limit: lock(&target.limit).limit(),
-        is_leaving: false,
+        is_leaving: lock(&node.announcements).is_departing(instance, target.incarnation),
     };
     (stated != AnswerNotice::default()).then(|| TargetNotice {
         instance: instance.clone(),
@@ -104,6 +121,26 @@
     );
 }
 
+fn record_leaving(
+    node: &NodeHandle,
+    call: &GateCall,
+    instance: &InstanceId,
+    incarnation: Incarnation,
+    source: NoticeSource,
+) {
+    if !lock(&node.announcements).record_leaving(instance, incarnation) {
+        return;
+    }
+    log::info!(
+        event = "target-leaving",
+        request:% = call.loggable_request_id(),
+        service:% = call.service,
+        target:% = instance,
+        source = source.name();
+        "gate"
+    );
+}
+
 /// Returns a limit in the form used in log lines.
 pub(crate) fn loggable_limit(limit: Option<RequestRate>) -> String {
     limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -69,7 +69,7 @@
     if !link_wait.is_zero() {
         headers::set(map, headers::LINK_WAIT_MS, link_wait.as_millis());
     }
-    if let Some(notice) = current_notice(&target) {
+    if let Some(notice) = current_notice(node, &target) {
         headers::set(map, headers::TARGET_NOTICE, notice);
     }
     headers::set(
--- a/wisteriaturnd/src/gate/targets.rs
+++ b/wisteriaturnd/src/gate/targets.rs
@@ -383,6 +383,18 @@
     rumors::spread_own_record(node, record).await;
 }
 
+/// Drains the gate of a target that states that it is leaving.
+pub(crate) fn start_draining(target: &LocalTarget) {
+    set_draining(target, true);
+}
+
+/// Publishes the targets and their departures in a task of its own, so that an answer
+/// does not wait for the other nodes to learn of a change that it brings.
+pub(crate) fn spawn_publish(node: &NodeHandle) {
+    let node = node.clone();
+    tokio::spawn(async move { publish(&node).await });
+}
+
 /// Withdraws targets whose registration has expired.
 pub async fn expire_task(node: NodeHandle) {
     let interval = (node.settings.tuning.announce_ttl / 4).max(Duration::from_millis(50));
