gate: a withdrawn target that announces itself again keeps its gate

A target that is withdrawn because it refused a connection, and announces itself again a second later, got a new gate: its running calls were not counted, so it could get more calls at once than it has slots, and its limit was forgotten until its next answer.

The gate of a named target is kept for when the same incarnation comes back. The test fails without it (0 running calls in place of 1).

--- a/tests/integration/embedded_link.rs
+++ b/tests/integration/embedded_link.rs
@@ -2,14 +2,18 @@
 //! a single link between two of them can be cut.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use eyre::Result;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use wisteriaturn::clock::SystemClock;
+use wisteriaturn::config::resource::CallClass;
+use wisteriaturn::ids::Incarnation;
 use wisteriaturn_testing::client;
 use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
 use wisteriaturn_testing::forwarder::TcpForwarder;
+use wisteriaturnd::gate::targets::{self, TargetAnnouncement};
 use wisteriaturnd::lifecycle::RunningNode;
 use wisteriaturnd::node::{AddressMap, NodeBuilder};
 use wisteriaturnd::settings::NodeSettings;
@@ -170,3 +174,38 @@
     cluster.remove_folder();
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_announces_itself_again_keeps_its_gate() -> Result<()> {
+    let (cluster, nodes, _forwarder) = start().await?;
+    let node = &nodes[0].node;
+    let service = "portal".parse()?;
+    cluster.add_service("portal", json!({})).await?;
+    let announcement: TargetAnnouncement = serde_json::from_value(json!({
+        "service": "portal", "address": "127.0.0.1:9", "slots": 1, "instance": "i-1",
+    }))?;
+    targets::register(node, &announcement).await?;
+    let gate = node.targets.get(&service).expect("the target").gate.clone();
+    let deadline = Instant::now() + Duration::from_secs(60);
+    let running = gate.acquire(CallClass::Interactive, deadline).await;
+    assert!(targets::withdraw(node, &service).await);
+    targets::register(node, &announcement).await?;
+    let load = node.targets.get(&service).expect("the target").gate.load();
+    assert_eq!((load.busy, load.slots), (1, 1), "its call is still running");
+    drop(running);
+    let next = gate.acquire(CallClass::Interactive, deadline).await;
+    assert!(next.is_ok(), "the gate is open again");
+    // A target that was started anew has no calls.
+    drop(next);
+    let restarted = TargetAnnouncement {
+        incarnation: Incarnation(2),
+        ..announcement
+    };
+    let _held = gate.acquire(CallClass::Interactive, deadline).await;
+    assert!(targets::withdraw(node, &service).await);
+    targets::register(node, &restarted).await?;
+    let load = node.targets.get(&service).expect("the target").gate.load();
+    assert_eq!(load.busy, 0);
+    cluster.remove_folder();
+    Ok(())
+}
--- a/wisteriaturnd/src/gate/targets.rs
+++ b/wisteriaturnd/src/gate/targets.rs
@@ -123,10 +123,22 @@
     expires_at: Mutex<Instant>,
 }
 
+impl LocalTarget {
+    /// Returns `true` if the announcement comes from this run of this target.
+    fn is_announced_by(&self, announcement: &TargetAnnouncement) -> bool {
+        self.address == announcement.address
+            && self.instance == announcement.instance
+            && self.incarnation == announcement.incarnation
+    }
+}
+
 /// The targets on this VM by service.
 #[derive(Debug, Default)]
 pub struct LocalTargets {
     targets: Mutex<BTreeMap<ServiceName, Arc<LocalTarget>>>,
+    /// The last withdrawn target of each service. One that announces itself again still
+    /// runs the calls that it got, and its limit still holds.
+    withdrawn: Mutex<BTreeMap<ServiceName, Arc<LocalTarget>>>,
 }
 
 impl LocalTargets {
@@ -238,9 +250,7 @@
 ) -> Result<Arc<LocalTarget>, RegistrationError> {
     let mut targets = lock(&node.targets.targets);
     if let Some(current) = targets.get(&announcement.service)
-        && current.address == announcement.address
-        && current.instance == announcement.instance
-        && current.incarnation == announcement.incarnation
+        && current.is_announced_by(announcement)
     {
         return Ok(Arc::clone(current));
     }
@@ -257,6 +267,14 @@
     if targets.len() >= MAX_TARGETS && !targets.contains_key(&announcement.service) {
         return Err(RegistrationError::Full);
     }
+    let withdrawn = lock(&node.targets.withdrawn).remove(&announcement.service);
+    if let Some(target) = withdrawn.filter(|target| target.is_announced_by(announcement)) {
+        if !*lock(&target.is_draining) {
+            target.gate.resume();
+        }
+        targets.insert(announcement.service.clone(), Arc::clone(&target));
+        return Ok(target);
+    }
     let target = Arc::new(LocalTarget {
         address: announcement.address,
         instance: announcement.instance.clone(),
@@ -292,6 +310,9 @@
         return false;
     };
     target.gate.drain();
+    if target.instance.is_some() {
+        lock(&node.targets.withdrawn).insert(service.clone(), Arc::clone(&target));
+    }
     log::info!(event = "target-withdrawn", service:% = service, address:% = target.address; "place");
     publish(node).await;
     true
