--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -20,7 +20,7 @@
 use crate::config::resource::Resource;
 use crate::config::validate::{Rejection, ResourceMap, validate};
 use crate::error::LogError;
-use crate::ids::{ConfigVersion, Offset, Revision};
+use crate::ids::{ConfigVersion, Offset, Revision, SourceEra};
 use crate::log_port::BoxFuture;
 
 /// A complete configuration as its source wrote it.
@@ -99,6 +99,8 @@
     pub newest: Option<ConfigDocument>,
     /// Offset at which the next read starts.
     pub next: Offset,
+    /// Era of the source in which this was read.
+    pub era: SourceEra,
 }
 
 type NewestFn = dyn Fn() -> BoxFuture<Result<DocumentBatch, LogError>> + Send + Sync;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -35,6 +35,9 @@
     Revision(u64);
     /// The position of a record in a stream of the log, starting at 0.
     Offset(u64);
+    /// Counts how often a source was restored from a copy that lacks its last records;
+    /// 0 if the source does not say. Offsets of different eras are not comparable.
+    SourceEra(u64);
     /// Orders the runs of the node at one address, or of one target instance:
     /// the start time in milliseconds since the Unix epoch. A node raises it
     /// above any incarnation that peers remember for its address.
--- a/wisteriaturnd/src/control/documents.rs
+++ b/wisteriaturnd/src/control/documents.rs
@@ -122,6 +122,7 @@
             self.is_source_lost = false;
         }
         self.backoff = READ_BACKOFF.0;
+        node.source.record_era(batch.era);
         // An outdated replica of the source may answer with an end before the
         // position that was already reached.
         self.position = self.position.max(Some(batch.next));
--- a/wisteriaturnd/src/control/source.rs
+++ b/wisteriaturnd/src/control/source.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::watch;
 use wisteriaturn::clock::lock;
-use wisteriaturn::ids::{ConfigVersion, Offset};
+use wisteriaturn::ids::{ConfigVersion, Offset, SourceEra};
 use wisteriaturn::member::pull::PullLease;
 
 /// Time after which a version that peers hold is overdue: the pause between two
@@ -21,6 +21,8 @@
     /// Newest version that this node has read from the source, or `None` before
     /// the first read.
     pub newest_version: watch::Sender<Option<ConfigVersion>>,
+    /// Era of the source as far as this node knows, or `None` before the first read.
+    pub era: watch::Sender<Option<SourceEra>>,
     /// Whether this node currently reads the source itself.
     pub is_reading: AtomicBool,
     /// When the source last answered this node.
@@ -43,6 +45,7 @@
     pub fn new() -> Self {
         Self {
             newest_version: watch::Sender::new(None),
+            era: watch::Sender::new(None),
             is_reading: AtomicBool::new(false),
             answered_at: Mutex::default(),
             reader_heard_at: Mutex::default(),
@@ -52,6 +55,24 @@
         }
     }
 
+    /// Records the era of an answer of the source, or one that a reader reports, and logs
+    /// if the source was restored since.
+    pub fn record_era(&self, era: SourceEra) {
+        let known = *self.era.borrow();
+        let is_newer = self.era.send_if_modified(|known| {
+            let is_newer = known.is_none_or(|known| known < era);
+            if is_newer {
+                *known = Some(era);
+            }
+            is_newer
+        });
+        if let Some(known) = known
+            && is_newer
+        {
+            log::warn!(event = "source-restored", era:% = era, before:% = known; "config");
+        }
+    }
+
     /// Records that a peer holds `version` while this node holds `held`. An
     /// earlier record stays until this node holds the recorded version, so that
     /// further versions do not restart its timeout.
--- a/wisteriaturnd/src/stream/client.rs
+++ b/wisteriaturnd/src/stream/client.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response};
 use tokio::time::timeout;
 use wisteriaturn::clock::SharedClock;
 use wisteriaturn::error::LogError;
@@ -41,7 +41,7 @@
         }
     }
 
-    /// Sends one request and returns the status and the body of the response.
+    /// Sends one request and returns the response with its whole body.
     /// `wait` is how long the service may hold the request open.
     ///
     /// # Errors
@@ -54,7 +54,7 @@
         path: String,
         body: Bytes,
         wait: Duration,
-    ) -> Result<(StatusCode, Bytes), LogError> {
+    ) -> Result<Response<Bytes>, LogError> {
         let exchange = self.exchange_without_timeout(method, path, body);
         timeout(wait + self.response_timeout, exchange)
             .await
@@ -68,7 +68,7 @@
         method: Method,
         path: String,
         body: Bytes,
-    ) -> Result<(StatusCode, Bytes), LogError> {
+    ) -> Result<Response<Bytes>, LogError> {
         let refused = |reason: String| LogError::Refused(reason);
         let indeterminate = |reason: String| LogError::Indeterminate(reason);
         let mut request = Request::builder()
@@ -94,14 +94,14 @@
                 }
                 Err(ExchangeError::Lost(error)) => return Err(indeterminate(error.to_string())),
             };
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
+            let (parts, body) = response.into_parts();
+            let body = Limited::new(body, MAX_RESPONSE_BYTES)
                 .collect()
                 .await
                 .map_err(|error| indeterminate(error.to_string()))?
                 .to_bytes();
             self.pool.release(connection);
-            return Ok((status, body));
+            return Ok(Response::from_parts(parts, body));
         }
     }
 }
--- a/wisteriaturnd/src/stream/http.rs
+++ b/wisteriaturnd/src/stream/http.rs
@@ -72,10 +72,11 @@
 impl HttpLog {
     async fn append(&self, stream: &str, data: Bytes) -> Result<Offset, LogError> {
         let path = format!("/streams/{stream}/records");
-        let (status, body) = self
+        let response = self
             .client
             .exchange(Method::POST, path, data, Duration::ZERO)
             .await?;
+        let status = response.status();
         if status.is_client_error() {
             return Err(LogError::Refused(status.to_string()));
         }
@@ -83,7 +84,7 @@
             // The service may have written the record before it failed.
             return Err(LogError::Indeterminate(status.to_string()));
         }
-        let reply: AppendReply = decode_json(&body)?;
+        let reply: AppendReply = decode_json(response.body())?;
         Ok(reply.offset)
     }
 
@@ -95,17 +96,18 @@
             request.limit,
             request.wait.as_millis()
         );
-        let (status, body) = self
+        let response = self
             .client
             .exchange(Method::GET, path, Bytes::new(), request.wait)
             .await?;
-        match status {
-            StatusCode::OK => decode_batch(decode_json(&body)?, request.from),
+        let body = response.body();
+        match response.status() {
+            StatusCode::OK => decode_batch(decode_json(body)?, request.from),
             StatusCode::GONE => {
-                let reply: TrimReply = decode_json(&body)?;
+                let reply: TrimReply = decode_json(body)?;
                 Err(LogError::Trimmed { first: reply.first })
             }
-            _ => Err(LogError::Indeterminate(status.to_string())),
+            status => Err(LogError::Indeterminate(status.to_string())),
         }
     }
 }
