documents: positions in the store count only together with its era

Callers would have been routed by an older version until the next one was written (CONFIG). Readers went on at the offset that they had reached in a history that is gone, and members kept the higher of two offsets.

A position now has the era of the store. An answer of a later era makes a reader read the newest document; heartbeats carry the era, and members compare it before the version. Nodes of earlier builds do not understand these heartbeats and read for themselves while builds are mixed.

--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -9,6 +9,10 @@
 //! changes. In return, a node that missed any number of versions needs a single
 //! read, and no snapshots have to be written.
 //!
+//! A source may be restored from a copy that lacks its last records. It then gives their
+//! offsets out again, so an offset counts only together with the era of the source in
+//! which it was read; see [docs/decisions/0016](../../docs/decisions/0016-eras-of-the-store.md).
+//!
 //! See [docs/decisions/0007](../../docs/decisions/0007-programs-on-the-platform.md).
 
 use std::fmt;
@@ -103,6 +107,24 @@
     pub era: SourceEra,
 }
 
+record! {
+    /// A position in a source of documents. Later eras come after all offsets of earlier
+    /// ones.
+    #[derive(Copy, PartialOrd, Ord)]
+    pub struct SourcePosition {
+        /// Era of the source.
+        pub era: SourceEra,
+        /// Offset of the next read.
+        pub offset: Offset,
+    }
+}
+
+impl fmt::Display for SourcePosition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.offset)
+    }
+}
+
 type NewestFn = dyn Fn() -> BoxFuture<Result<DocumentBatch, LogError>> + Send + Sync;
 type FollowFn =
     dyn Fn(Offset, Duration) -> BoxFuture<Result<DocumentBatch, LogError>> + Send + Sync;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -11,6 +11,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::config::delta::DocumentDelta;
+use crate::config::document::SourcePosition;
 use crate::error::CodecError;
 use crate::gate::claim::{ClaimOutcome, ClaimRequest};
 use crate::gate::ledger::CallResult;
@@ -98,6 +99,13 @@
             /// itself reads nothing twice.
             position: Offset,
         },
+        /// As [`Datagram::ReaderHeartbeat`], from a reader whose source names its eras.
+        EraHeartbeat {
+            /// Version that is in force at the sender.
+            version: ConfigVersion,
+            /// Position from which the sender goes on reading.
+            position: SourcePosition,
+        },
     }
 
     /// A request that is sent over a connection.
--- a/wisteriaturnd/src/control/documents.rs
+++ b/wisteriaturnd/src/control/documents.rs
@@ -10,16 +10,17 @@
 //!
 //! Versions only increase, so it does not matter which way delivers one first. A
 //! source that answers with an old document or with a trimmed history reverts
-//! nothing.
+//! nothing. A source that was restored from a copy is read anew: offsets of another era
+//! may have been given out again.
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use wisteriaturn::clock::lock;
-use wisteriaturn::config::document::{ConfigDocument, DocumentBatch, DocumentPort};
+use wisteriaturn::config::document::{ConfigDocument, DocumentBatch, DocumentPort, SourcePosition};
 use wisteriaturn::error::LogError;
-use wisteriaturn::ids::{ConfigVersion, Offset};
+use wisteriaturn::ids::{ConfigVersion, SourceEra};
 use wisteriaturn::member::reader::{
     READER_HEARTBEAT_INTERVAL, READER_TIMEOUT, members_read_by, readers,
 };
@@ -56,8 +57,8 @@
 /// The state of the task that reads the source.
 #[derive(Debug)]
 struct SourceReader {
-    /// Offset of the next read, or `None` to read the newest document.
-    position: Option<Offset>,
+    /// Position of the next read, or `None` to read the newest document.
+    position: Option<SourcePosition>,
     backoff: Duration,
     /// Whether reads currently fail; only the first failure is logged.
     is_source_lost: bool,
@@ -78,7 +79,7 @@
         }
         let read = match reader.position {
             None => port.newest().await,
-            Some(from) => port.follow(from, POLL_TIMEOUT).await,
+            Some(from) => port.follow(from.offset, POLL_TIMEOUT).await,
         };
         match read {
             Ok(batch) => {
@@ -117,15 +118,24 @@
     }
 
     fn handle_batch(&mut self, node: &NodeHandle, batch: DocumentBatch) {
+        let next = SourcePosition {
+            era: batch.era,
+            offset: batch.next,
+        };
         if self.is_source_lost {
-            log::info!(event = "source-regained", position:% = batch.next; "config");
+            log::info!(event = "source-regained", position:% = next, era:% = next.era; "config");
             self.is_source_lost = false;
         }
         self.backoff = READ_BACKOFF.0;
         node.source.record_era(batch.era);
-        // An outdated replica of the source may answer with an end before the
-        // position that was already reached.
-        self.position = self.position.max(Some(batch.next));
+        self.position = match self.position {
+            // What was read at an offset of another era may begin after documents that
+            // were written since.
+            Some(position) if position.era < next.era => None,
+            // An outdated replica of the source may answer with an end before the
+            // position that was already reached.
+            position => position.max(Some(next)),
+        };
         if let Some(document) = batch.newest {
             let version = document.version;
             adopt_if_newer(node, document);
@@ -184,13 +194,14 @@
     }
 }
 
-/// Returns the offset at which to continue reading, or `None` if this node does
-/// not hold the version in force at that offset.
-fn known_position(node: &NodeHandle) -> Option<Offset> {
+/// Returns the position at which to continue reading, or `None` if this node does
+/// not hold the version in force at that position or the source was restored since.
+fn known_position(node: &NodeHandle) -> Option<SourcePosition> {
     let held = lock(&node.store).version();
+    let era = node.source.known_era();
     let read_position = *lock(&node.source.read_position);
     read_position
-        .filter(|(version, _)| held >= *version)
+        .filter(|(version, position)| held >= *version && position.era >= era)
         .map(|(_, position)| position)
 }
 
@@ -233,23 +244,37 @@
         return;
     };
     for member in members {
-        let heartbeat = Datagram::ReaderHeartbeat { version, position };
+        let heartbeat = heartbeat(version, position);
         gossip::send(node, member, &heartbeat, TrafficKind::Push).await;
     }
 }
 
+/// Returns the heartbeat of a reader. Nodes of earlier builds understand it if the source
+/// names no eras.
+fn heartbeat(version: ConfigVersion, position: SourcePosition) -> Datagram {
+    if position.era == SourceEra::default() {
+        let position = position.offset;
+        return Datagram::ReaderHeartbeat { version, position };
+    }
+    Datagram::EraHeartbeat { version, position }
+}
+
 /// Handles a heartbeat of the reader of this node, and pulls the reader's version
 /// if it is newer.
 pub fn handle_heartbeat(
     node: &NodeHandle,
     from: SocketAddr,
     version: ConfigVersion,
-    position: Offset,
+    position: SourcePosition,
 ) {
     *lock(&node.source.reader_heard_at) = Some(node.clock.now());
+    node.source.record_era(position.era);
     {
         let mut read_position = lock(&node.source.read_position);
-        if read_position.is_none_or(|(known, offset)| (known, offset) <= (version, position)) {
+        let is_later = read_position.is_none_or(|(known, reached)| {
+            (reached.era, known, reached.offset) <= (position.era, version, position.offset)
+        });
+        if is_later {
             *read_position = Some((version, position));
         }
     }
--- a/wisteriaturnd/src/control/source.rs
+++ b/wisteriaturnd/src/control/source.rs
@@ -7,7 +7,8 @@
 
 use tokio::sync::watch;
 use wisteriaturn::clock::lock;
-use wisteriaturn::ids::{ConfigVersion, Offset, SourceEra};
+use wisteriaturn::config::document::SourcePosition;
+use wisteriaturn::ids::{ConfigVersion, SourceEra};
 use wisteriaturn::member::pull::PullLease;
 
 /// Time after which a version that peers hold is overdue: the pause between two
@@ -31,8 +32,8 @@
     /// this node, arrived.
     pub reader_heard_at: Mutex<Option<Instant>>,
     /// How far this node or its reader has read the source: the version in force
-    /// at that point and the offset of the next read.
-    pub read_position: Mutex<Option<(ConfigVersion, Offset)>>,
+    /// at that point and the position of the next read.
+    pub read_position: Mutex<Option<(ConfigVersion, SourcePosition)>>,
     /// Keeps this node from pulling the configuration several times at once.
     pub pull_lease: Mutex<PullLease>,
     /// A version that a peer holds and this node lacks, and when this node heard
@@ -73,6 +74,11 @@
         }
     }
 
+    /// Returns the era of the source as far as this node knows.
+    pub fn known_era(&self) -> SourceEra {
+        self.era.borrow().unwrap_or_default()
+    }
+
     /// Records that a peer holds `version` while this node holds `held`. An
     /// earlier record stays until this node holds the recorded version, so that
     /// further versions do not restart its timeout.
--- a/wisteriaturnd/src/mesh/gossip.rs
+++ b/wisteriaturnd/src/mesh/gossip.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 use wisteriaturn::clock::lock;
-use wisteriaturn::ids::{ConfigVersion, NodeAddress};
+use wisteriaturn::config::document::SourcePosition;
+use wisteriaturn::ids::{ConfigVersion, NodeAddress, SourceEra};
 use wisteriaturn::invariant::{Invariant, check};
 use wisteriaturn::member::probe::random_peers;
 use wisteriaturn::member::record::MemberState;
@@ -179,6 +180,13 @@
             handle_record(node, from, version, record).await;
         }
         Datagram::ReaderHeartbeat { version, position } => {
+            let position = SourcePosition {
+                era: SourceEra::default(),
+                offset: position,
+            };
+            documents::handle_heartbeat(node, from, version, position);
+        }
+        Datagram::EraHeartbeat { version, position } => {
             documents::handle_heartbeat(node, from, version, position);
         }
         Datagram::Rumors { rumors } => rumors::receive(node, from, rumors, true).await,
