directory: write a node's entry again when the store was restored

A node that started after the store had lost the entries of the others found none of them, and they did not find it, until the next look at the directory a minute later; its callers got not-run and its target no calls.

--- a/src/member/directory.rs
+++ b/src/member/directory.rs
@@ -6,16 +6,20 @@
 //! entry for each node. An entry is written when its node starts, and the
 //! entries are read at start and periodically after that. The directory is
 //! never used to decide which nodes are alive; probing does that.
+//!
+//! A store that is restored from a copy may have lost entries. So an entry is also
+//! written again when its node learns that the store was restored since; see
+//! [docs/decisions/0016](../../docs/decisions/0016-eras-of-the-store.md).
 
 use std::fmt;
 use std::sync::Arc;
 
 use crate::error::LogError;
-use crate::ids::NodeAddress;
+use crate::ids::{NodeAddress, SourceEra};
 use crate::log_port::BoxFuture;
 use crate::member::record::MemberRecord;
 
-type PublishFn = dyn Fn(MemberRecord) -> BoxFuture<Result<(), LogError>> + Send + Sync;
+type PublishFn = dyn Fn(MemberRecord) -> BoxFuture<Result<SourceEra, LogError>> + Send + Sync;
 type ListFn = dyn Fn() -> BoxFuture<Result<Vec<MemberRecord>, LogError>> + Send + Sync;
 type RemoveFn = dyn Fn(NodeAddress) -> BoxFuture<Result<(), LogError>> + Send + Sync;
 
@@ -33,7 +37,7 @@
     /// remove entries.
     pub fn new<P, L, R>(publish: P, list: L, remove: R) -> Self
     where
-        P: Fn(MemberRecord) -> BoxFuture<Result<(), LogError>> + Send + Sync + 'static,
+        P: Fn(MemberRecord) -> BoxFuture<Result<SourceEra, LogError>> + Send + Sync + 'static,
         L: Fn() -> BoxFuture<Result<Vec<MemberRecord>, LogError>> + Send + Sync + 'static,
         R: Fn(NodeAddress) -> BoxFuture<Result<(), LogError>> + Send + Sync + 'static,
     {
@@ -44,13 +48,13 @@
         }
     }
 
-    /// Writes the entry of a node, replacing an earlier one. Writing the same
-    /// entry again is harmless.
+    /// Writes the entry of a node, replacing an earlier one, and returns the era of the
+    /// store in which it was written. Writing the same entry again is harmless.
     ///
     /// # Errors
     ///
     /// Returns the [`LogError`] of the underlying store.
-    pub async fn publish(&self, record: MemberRecord) -> Result<(), LogError> {
+    pub async fn publish(&self, record: MemberRecord) -> Result<SourceEra, LogError> {
         (self.publish)(record).await
     }
 
