documents: members count from the source's last answer, not from a heartbeat

A reader whose read the store never answers went on sending heartbeats for 1.3 s, and its members waited 1.2 s more and a look of 0.2 s before they read for themselves.

Heartbeats now say how old the last answer is, and members read for themselves 1.5 s after it. The reader sends two heartbeats a second in place of 2.5, and gives up a read that is 0.6 s late once. Of a source that answers no read so soon it waits as long as before.

Evidence: the test fails if the age is ignored (still waits 1.7 s after the last answer, in three cases).

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -99,12 +99,14 @@
             /// itself reads nothing twice.
             position: Offset,
         },
-        /// As [`Datagram::ReaderHeartbeat`], from a reader whose source names its eras.
-        EraHeartbeat {
+        /// Replaces [`Datagram::ReaderHeartbeat`], which only earlier builds send.
+        SourceHeartbeat {
             /// Version that is in force at the sender.
             version: ConfigVersion,
             /// Position from which the sender goes on reading.
             position: SourcePosition,
+            /// Time since the source's last answer to the sender, in milliseconds.
+            answer_age_ms: u32,
         },
     }
 
--- a/tests/integration/document_rules.rs
+++ b/tests/integration/document_rules.rs
@@ -2,7 +2,7 @@
 //! relay documents for their data centre.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
 use wisteriaturn::config::delta::{
@@ -15,7 +15,10 @@
     ConfigVersion, DataCentre, Incarnation, LinkRate, NodeAddress, Percent, Sequence, SlotCount,
 };
 use wisteriaturn::member::pull::{PULL_LEASE_TTL, PullLease};
-use wisteriaturn::member::reader::{MEMBERS_PER_READER, members_read_by, reader_of, readers};
+use wisteriaturn::member::reader::{
+    MAX_ANSWER_AGE, MEMBERS_PER_READER, READ_INTERVAL, READER_HEARTBEAT_INTERVAL, ReaderContact,
+    members_read_by, reader_of, readers,
+};
 use wisteriaturn::member::record::{MemberRecord, MemberState};
 use wisteriaturn::member::role::{RELAYS_PER_DATA_CENTRE, relays};
 use wisteriaturn::member::table::MemberTable;
@@ -225,3 +228,51 @@
     assert_eq!(relays.len(), RELAYS_PER_DATA_CENTRE);
     assert_eq!(relays[0], address(2));
 }
+
+/// The source answers the reader `answers` times, once a [`READ_INTERVAL`] and
+/// `answer_delay` later than it should, and never again. The reader sends heartbeats with
+/// each answer and between them, of which each `lost` one is lost.
+#[yare::parameterized(
+    prompt = { 1, 0, usize::MAX },
+    slow = { 4, 320, usize::MAX },
+    lossy = { 4, 0, 3 },
+)]
+fn a_member_reads_for_itself_in_time_if_its_reader_gets_no_answer(
+    answers: u64,
+    answer_delay: u64,
+    lost: usize,
+) {
+    // A change must be in force 2 s after it was acknowledged, in the worst case right after
+    // the last answer, and the member's own look and read take up to 300 ms.
+    let limit = Duration::from_millis(2_000 - 300);
+    let start = Instant::now();
+    let period = READ_INTERVAL + Duration::from_millis(answer_delay);
+    let last_answer = start + period * u32::try_from(answers - 1).expect("a small number");
+    let mut contact = ReaderContact::default();
+    let (mut answered_at, mut sent_at, mut sent) = (start, None::<Instant>, 0);
+    for ms in 0..20_000 {
+        let now = start + Duration::from_millis(ms);
+        let is_answer = now <= last_answer && now == answered_at + period;
+        if is_answer {
+            answered_at = now;
+        }
+        let is_due = sent_at.is_none_or(|sent_at| now >= sent_at + READER_HEARTBEAT_INTERVAL);
+        let answer_age = now - answered_at;
+        if (is_answer || is_due) && answer_age < MAX_ANSWER_AGE {
+            sent_at = Some(now);
+            sent += 1;
+            if sent % lost != 0 {
+                contact.record_heartbeat(answer_age, now);
+            }
+        }
+        let is_relied_on = contact.is_recent(now);
+        assert!(
+            is_relied_on || now > last_answer,
+            "no reason to read at {ms} ms"
+        );
+        assert!(
+            !is_relied_on || now < last_answer + limit,
+            "still waits at {ms} ms"
+        );
+    }
+}
--- a/wisteriaturnd/src/control/documents.rs
+++ b/wisteriaturnd/src/control/documents.rs
@@ -20,9 +20,9 @@
 use wisteriaturn::clock::lock;
 use wisteriaturn::config::document::{ConfigDocument, DocumentBatch, DocumentPort, SourcePosition};
 use wisteriaturn::error::LogError;
-use wisteriaturn::ids::{ConfigVersion, SourceEra};
+use wisteriaturn::ids::ConfigVersion;
 use wisteriaturn::member::reader::{
-    READER_HEARTBEAT_INTERVAL, READER_TIMEOUT, members_read_by, readers,
+    MAX_ANSWER_AGE, READ_INTERVAL, READER_HEARTBEAT_INTERVAL, members_read_by, readers,
 };
 use wisteriaturn::peer::message::Datagram;
 
@@ -32,14 +32,14 @@
 use crate::metrics::TrafficKind;
 use crate::node::NodeHandle;
 
-/// Time for which the source keeps a read open while there is no new document.
-/// Every answer shows that the source is reachable, which is a condition for the
-/// reader's heartbeats.
-const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for an answer of the source beyond the wait that a read allows, after which the
+/// reader tries another connection. A source that answers no read in this time is given
+/// the longer time of its port.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Age of the source's last answer up to which a reader sends heartbeats: a poll
-/// plus a slow answer.
-const MAX_ANSWER_AGE: Duration = Duration::from_millis(1_300);
+/// Minimum time for which the source keeps a read open, so that a late reader does not
+/// poll without pause.
+const MIN_WAIT: Duration = Duration::from_millis(300);
 
 /// Interval at which a node that does not read the source checks whether it has
 /// to.
@@ -77,17 +77,13 @@
             tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
-        let read = match reader.position {
-            None => port.newest().await,
-            Some(from) => port.follow(from.offset, POLL_TIMEOUT).await,
-        };
-        match read {
+        match reader.read(&node, &port).await {
             Ok(batch) => {
                 let has_document = batch.newest.is_some();
                 reader.handle_batch(&node, batch);
                 *lock(&node.source.answered_at) = Some(node.clock.now());
+                send_heartbeats(&node).await;
                 if has_document {
-                    send_heartbeats(&node).await;
                     tokio::time::sleep(jittered(BATCH_DELAY)).await;
                 }
             }
@@ -97,6 +93,29 @@
 }
 
 impl SourceReader {
+    /// Reads the newest document, or waits for a document after the position that was
+    /// reached, until [`READ_INTERVAL`] has passed since the last answer.
+    async fn read(
+        &self,
+        node: &NodeHandle,
+        port: &DocumentPort,
+    ) -> Result<DocumentBatch, LogError> {
+        let answer_age = answer_age(node).unwrap_or_default();
+        let wait = READ_INTERVAL.saturating_sub(answer_age).max(MIN_WAIT);
+        let read = async {
+            match self.position {
+                None => port.newest().await,
+                Some(from) => port.follow(from.offset, wait).await,
+            }
+        };
+        if self.is_source_lost {
+            return read.await;
+        }
+        tokio::time::timeout(wait + ANSWER_TIMEOUT, read)
+            .await
+            .unwrap_or_else(|_| Err(LogError::Indeterminate("no answer to a read".to_owned())))
+    }
+
     /// Decides whether this node must read the source, because it is a reader or
     /// because no reader serves it. When this changes, the next read starts at the
     /// last known position.
@@ -211,28 +230,40 @@
     readers(&table, &node.settings.data_centre).contains(&node.address())
 }
 
-/// Returns `true` if a reader has sent a heartbeat within [`READER_TIMEOUT`].
+/// Returns `true` if the source has lately answered a reader of this node.
 fn hears_reader(node: &NodeHandle) -> bool {
-    let now = node.clock.now();
-    let heard_at = *lock(&node.source.reader_heard_at);
-    heard_at.is_some_and(|heard_at| now.saturating_duration_since(heard_at) < READER_TIMEOUT)
+    lock(&node.source.reader_contact).is_recent(node.clock.now())
+}
+
+/// Returns the time since the source last answered this node, if it ever did.
+fn answer_age(node: &NodeHandle) -> Option<Duration> {
+    let answered_at = *lock(&node.source.answered_at);
+    answered_at.map(|answered_at| node.clock.now().saturating_duration_since(answered_at))
 }
 
-/// Sends heartbeats to the members that this node reads for. Never returns.
+/// Sends heartbeats to the members that this node reads for, whenever the last ones were
+/// sent [`READER_HEARTBEAT_INTERVAL`] ago. Never returns.
 pub async fn heartbeat_task(node: NodeHandle) {
     loop {
-        tokio::time::sleep(READER_HEARTBEAT_INTERVAL).await;
-        send_heartbeats(&node).await;
+        let sent_at = *lock(&node.source.heartbeat_sent_at);
+        let since = sent_at.map(|sent_at| node.clock.now().saturating_duration_since(sent_at));
+        let rest = READER_HEARTBEAT_INTERVAL.saturating_sub(since.unwrap_or_default());
+        if rest.is_zero() {
+            send_heartbeats(&node).await;
+        } else {
+            tokio::time::sleep(rest).await;
+        }
     }
 }
 
 /// Sends one heartbeat to each member that this node reads for, if the source has
 /// answered recently.
 async fn send_heartbeats(node: &NodeHandle) {
-    let now = node.clock.now();
-    let has_recent_answer = lock(&node.source.answered_at)
-        .is_some_and(|answered_at| now.saturating_duration_since(answered_at) < MAX_ANSWER_AGE);
-    if !has_recent_answer || !is_reader(node) {
+    *lock(&node.source.heartbeat_sent_at) = Some(node.clock.now());
+    let Some(answer_age) = answer_age(node).filter(|age| *age < MAX_ANSWER_AGE) else {
+        return;
+    };
+    if !is_reader(node) {
         return;
     }
     let members = {
@@ -244,21 +275,15 @@
         return;
     };
     for member in members {
-        let heartbeat = heartbeat(version, position);
+        let heartbeat = Datagram::SourceHeartbeat {
+            version,
+            position,
+            answer_age_ms: u32::try_from(answer_age.as_millis()).unwrap_or(u32::MAX),
+        };
         gossip::send(node, member, &heartbeat, TrafficKind::Push).await;
     }
 }
 
-/// Returns the heartbeat of a reader. Nodes of earlier builds understand it if the source
-/// names no eras.
-fn heartbeat(version: ConfigVersion, position: SourcePosition) -> Datagram {
-    if position.era == SourceEra::default() {
-        let position = position.offset;
-        return Datagram::ReaderHeartbeat { version, position };
-    }
-    Datagram::EraHeartbeat { version, position }
-}
-
 /// Handles a heartbeat of the reader of this node, and pulls the reader's version
 /// if it is newer.
 pub fn handle_heartbeat(
@@ -266,8 +291,9 @@
     from: SocketAddr,
     version: ConfigVersion,
     position: SourcePosition,
+    answer_age: Duration,
 ) {
-    *lock(&node.source.reader_heard_at) = Some(node.clock.now());
+    lock(&node.source.reader_contact).record_heartbeat(answer_age, node.clock.now());
     node.source.record_era(position.era);
     {
         let mut read_position = lock(&node.source.read_position);
--- a/wisteriaturnd/src/control/source.rs
+++ b/wisteriaturnd/src/control/source.rs
@@ -10,6 +10,7 @@
 use wisteriaturn::config::document::SourcePosition;
 use wisteriaturn::ids::{ConfigVersion, SourceEra};
 use wisteriaturn::member::pull::PullLease;
+use wisteriaturn::member::reader::ReaderContact;
 
 /// Time after which a version that peers hold is overdue: the pause between two
 /// reads plus a read.
@@ -28,9 +29,11 @@
     pub is_reading: AtomicBool,
     /// When the source last answered this node.
     pub answered_at: Mutex<Option<Instant>>,
-    /// When the last heartbeat of a reader, a member that reads the source for
-    /// this node, arrived.
-    pub reader_heard_at: Mutex<Option<Instant>>,
+    /// When this node last sent heartbeats to the members that it reads for.
+    pub heartbeat_sent_at: Mutex<Option<Instant>>,
+    /// What the heartbeats of a reader, a member that reads the source for this node,
+    /// say about the source's last answer.
+    pub reader_contact: Mutex<ReaderContact>,
     /// How far this node or its reader has read the source: the version in force
     /// at that point and the position of the next read.
     pub read_position: Mutex<Option<(ConfigVersion, SourcePosition)>>,
@@ -49,7 +52,8 @@
             era: watch::Sender::new(None),
             is_reading: AtomicBool::new(false),
             answered_at: Mutex::default(),
-            reader_heard_at: Mutex::default(),
+            heartbeat_sent_at: Mutex::default(),
+            reader_contact: Mutex::default(),
             read_position: Mutex::default(),
             pull_lease: Mutex::default(),
             missing_version: Mutex::default(),
--- a/wisteriaturnd/src/mesh/gossip.rs
+++ b/wisteriaturnd/src/mesh/gossip.rs
@@ -184,10 +184,15 @@
                 era: SourceEra::default(),
                 offset: position,
             };
-            documents::handle_heartbeat(node, from, version, position);
+            documents::handle_heartbeat(node, from, version, position, Duration::ZERO);
         }
-        Datagram::EraHeartbeat { version, position } => {
-            documents::handle_heartbeat(node, from, version, position);
+        Datagram::SourceHeartbeat {
+            version,
+            position,
+            answer_age_ms,
+        } => {
+            let answer_age = Duration::from_millis(answer_age_ms.into());
+            documents::handle_heartbeat(node, from, version, position, answer_age);
         }
         Datagram::Rumors { rumors } => rumors::receive(node, from, rumors, true).await,
     }
