testing: chaos checks the limits that targets name, and leaving targets

Targets of a chaos run now name limits for 7 to 10 s or state that they are leaving, while nodes beside them are killed, frozen and stopped. The stand-in itself counts what it should not have got and writes it to a file that outlives it; two rows of the table are new.

--- a/testing/src/bin/target-standin.rs
+++ b/testing/src/bin/target-standin.rs
@@ -6,9 +6,9 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eyre::{Result, eyre};
@@ -24,7 +24,9 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
+use wisteriaturn::clock::{Clock, SystemClock, lock};
 use wisteriaturn_testing::client;
+use wisteriaturn_testing::statement::{STATEMENT_PATH, StatementCheck};
 
 /// How often the target announces itself.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -51,6 +53,13 @@
     slots: u16,
     #[options(help = "file to which the ID of each run is appended", meta = "FILE")]
     runs: Option<PathBuf>,
+    #[options(help = "announce an instance name, which is new at each start")]
+    named: bool,
+    #[options(
+        help = "file to which each request against the target's statements is appended",
+        meta = "FILE"
+    )]
+    violations: Option<PathBuf>,
 }
 
 type TargetBody = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -63,6 +72,11 @@
     service: String,
     slots: u16,
     runs: Option<PathBuf>,
+    violations: Option<PathBuf>,
+    /// Start time in milliseconds, by which a named target identifies itself.
+    incarnation: Option<u64>,
+    announcements: AtomicU64,
+    statements: Mutex<StatementCheck>,
     capacity: Arc<Semaphore>,
     running: AtomicUsize,
     is_draining: AtomicBool,
@@ -81,6 +95,10 @@
         service: options.service,
         slots: options.slots,
         runs: options.runs,
+        violations: options.violations,
+        incarnation: options.named.then(|| SystemClock.unix_millis()),
+        announcements: AtomicU64::new(0),
+        statements: Mutex::default(),
         capacity: Arc::new(Semaphore::new(usize::from(options.slots))),
         running: AtomicUsize::new(0),
         is_draining: AtomicBool::new(false),
@@ -117,12 +135,17 @@
 }
 
 async fn announce(state: &TargetState) {
-    let body = json!({
+    let mut body = json!({
         "service": state.service,
         "address": state.address,
         "slots": state.slots,
         "draining": state.is_draining.load(Ordering::Relaxed),
     });
+    if let Some(incarnation) = state.incarnation {
+        body["instance"] = json!(format!("i-{}-{incarnation}", state.address.port()));
+        body["incarnation"] = json!(incarnation);
+        body["sequence"] = json!(state.announcements.fetch_add(1, Ordering::Relaxed));
+    }
     let _ = client::post(state.admin, "/v1/targets", &body.to_string()).await;
 }
 
@@ -144,12 +167,38 @@
     state: &TargetState,
     request: Request<Incoming>,
 ) -> Result<Response<TargetBody>, Infallible> {
+    if request.uri().path() == STATEMENT_PATH {
+        return Ok(set_statements(state, request).await);
+    }
+    let violation = lock(&state.statements).record_request(Instant::now());
+    if let Some(violation) = violation {
+        append_line(state.violations.as_ref(), &violation);
+    }
     state.running.fetch_add(1, Ordering::Relaxed);
-    let response = run(state, request).await;
+    let mut response = run(state, request).await;
     state.running.fetch_sub(1, Ordering::Relaxed);
+    for (name, value) in lock(&state.statements).headers(Instant::now()) {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().insert(name, value);
+        }
+    }
     Ok(response)
 }
 
+/// Sets what the target states from now on: `{"limit": 5.0, "leaving": false}`.
+async fn set_statements(state: &TargetState, request: Request<Incoming>) -> Response<TargetBody> {
+    let body = request.into_body().collect().await;
+    let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+    let told: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+    let is_leaving = told["leaving"].as_bool().unwrap_or_default();
+    lock(&state.statements).set(told["limit"].as_f64(), is_leaving);
+    Response::new(
+        Full::new(Bytes::new())
+            .map_err(|never| match never {})
+            .boxed_unsync(),
+    )
+}
+
 /// Serves a call. The request headers `x-crash`, `x-sleep-ms`, `x-stall`, `x-cut`, `x-next`,
 /// `x-status` and `x-answer-bytes` say how; without them the answer describes the request.
 async fn run(state: &TargetState, request: Request<Incoming>) -> Response<TargetBody> {
@@ -247,7 +296,13 @@
 /// that records a booking first. So a run counts even if the process crashes later.
 fn record_run(state: &TargetState, headers: &HeaderMap) {
     let id = headers.get("x-run").and_then(|value| value.to_str().ok());
-    let (Some(id), Some(path)) = (id, &state.runs) else {
+    if let Some(id) = id {
+        append_line(state.runs.as_ref(), id);
+    }
+}
+
+fn append_line(path: Option<&PathBuf>, line: &str) {
+    let Some(path) = path else {
         return;
     };
     let file = std::fs::OpenOptions::new()
@@ -255,7 +310,7 @@
         .append(true)
         .open(path);
     if let Ok(mut file) = file {
-        let _ = file.write_all(format!("{id}\n").as_bytes());
+        let _ = file.write_all(format!("{line}\n").as_bytes());
     }
 }
 
--- a/testing/src/cluster.rs
+++ b/testing/src/cluster.rs
@@ -14,6 +14,7 @@
 use crate::client::{self, HttpReply};
 pub use crate::plan::{ClusterPlan, DATA_CENTRES, MESH_SECRET};
 use crate::process::{OwnedProcess, program_path};
+use crate::statement::STATEMENT_PATH;
 
 /// Timeout of every wait for a condition. It is far above what the conditions need,
 /// so that no test fails because the machine is busy.
@@ -110,6 +111,12 @@
         self.folder.join("runs")
     }
 
+    /// Returns the path of the file to which the targets append each request that they
+    /// should not have got after what they stated.
+    pub fn violations_path(&self) -> PathBuf {
+        self.folder.join("violations")
+    }
+
     /// Returns the region and data centre of a node. Nodes are assigned to the data
     /// centres in turn.
     pub fn location(&self, index: usize) -> (&'static str, &'static str) {
@@ -188,14 +195,18 @@
 
     /// Starts the target that runs next to a node and announces itself to it.
     pub fn start_target(&mut self, index: usize, service: &str, slots: u16) -> Result<()> {
-        let arguments = vec![
+        let mut arguments = vec![
             format!("--listen={}", self.target_address(index)),
             format!("--admin={}", self.admin(index)),
             format!("--ingress={}", self.ingress(index)),
             format!("--service={service}"),
             format!("--slots={slots}"),
             format!("--runs={}", self.runs_path().display()),
+            format!("--violations={}", self.violations_path().display()),
         ];
+        if self.plan.named_targets {
+            arguments.push("--named".to_owned());
+        }
         let output = self.folder.join(format!("target-{index}.log"));
         let process = OwnedProcess::start(&program_path("target-standin")?, &arguments, &output)?;
         self.targets[index] = Some(process);
@@ -368,6 +379,20 @@
         counts
     }
 
+    /// Returns the requests that targets should not have got after what they stated.
+    pub fn violations(&self) -> Vec<String> {
+        let text = std::fs::read_to_string(self.violations_path()).unwrap_or_default();
+        text.lines().map(str::to_owned).collect()
+    }
+
+    /// Tells a target what to state in its answers from now on. A target that is down is
+    /// told nothing.
+    pub async fn set_statements(&self, index: usize, limit: Option<f64>, is_leaving: bool) {
+        let body = json!({ "limit": limit, "leaving": is_leaving }).to_string();
+        let target = self.target_address(index);
+        let _ = client::post(target, STATEMENT_PATH, &body).await;
+    }
+
     /// Kills a node and waits until it has exited.
     pub fn kill_node(&mut self, index: usize) {
         self.nodes[index] = None;
--- a/testing/src/experiment/chaos.rs
+++ b/testing/src/experiment/chaos.rs
@@ -44,6 +44,7 @@
     let mut cluster = TestCluster::start(ClusterPlan {
         nodes: options.nodes,
         data_centres: options.places,
+        named_targets: true,
         tuning: "probe_interval_ms = 300\nsuspect_timeout_ms = 1500\nsnapshot_every = 20".into(),
         ..ClusterPlan::default()
     })
@@ -172,6 +173,7 @@
     }
     let convergence = convergence_percentiles(views, accepted, options.nodes);
     let lost = count_lost_versions(cluster, accepted).await;
+    let violations_seen = cluster.violations();
     let promises = [
         (
             "most runs of a call that must not run twice",
@@ -202,6 +204,16 @@
             0,
         ),
         ("accepted versions lost", lost, 0),
+        (
+            "requests beyond a target's limit",
+            count_violations(&violations_seen, "limit"),
+            0,
+        ),
+        (
+            "requests to a target that said it is leaving",
+            count_violations(&violations_seen, "leaving"),
+            0,
+        ),
         ("invariant violations in the nodes", violations as u64, 0),
         (
             "nodes that exited unexpectedly",
@@ -234,6 +246,12 @@
     Ok(is_kept)
 }
 
+/// Returns the number of violations of one kind of statement.
+fn count_violations(violations: &[String], kind: &str) -> u64 {
+    let matching = violations.iter().filter(|line| line.starts_with(kind));
+    matching.count() as u64
+}
+
 /// Prints how many calls of each kind ended with each outcome and reason.
 fn print_outcomes(calls: &CallerLog) {
     let totals = calls.totals.lock().expect("no panic");
--- a/testing/src/experiment/faults.rs
+++ b/testing/src/experiment/faults.rs
@@ -9,6 +9,10 @@
 use crate::cluster::TestCluster;
 use crate::experiment::observer::ViewLog;
 
+/// Minimum time for which a target states something: long enough for the window over which
+/// a limit is checked.
+const STATEMENT_TIME: Duration = Duration::from_secs(7);
+
 /// An injected fault and the time at which it is undone.
 #[derive(Debug)]
 struct ActiveFault {
@@ -23,6 +27,8 @@
     StopNode(usize),
     KillTarget(usize),
     KillDataCentre(usize),
+    LimitTarget(usize),
+    LeavingTarget(usize),
     Log,
 }
 
@@ -105,6 +111,11 @@
                         views.record_up(index);
                     }
                 }
+                FaultKind::LimitTarget(index) => cluster.set_statements(index, None, false).await,
+                FaultKind::LeavingTarget(index) => {
+                    cluster.kill_target(index);
+                    start_target(cluster, index)?;
+                }
                 FaultKind::Log => cluster.set_log_behaviour("{}").await?,
             }
         }
@@ -115,7 +126,7 @@
     /// data centre or log.
     async fn inject(&mut self, cluster: &mut TestCluster, views: &ViewLog) -> Result<()> {
         let index = self.rng.random_range(0..self.nodes);
-        let duration = Duration::from_millis(self.rng.random_range(200..3_000));
+        let mut duration = Duration::from_millis(self.rng.random_range(200..3_000));
         let is_affected = self.is_affected(index);
         let data_centre = index % self.data_centres;
         let is_data_centre_affected = self
@@ -125,7 +136,8 @@
             .active
             .iter()
             .any(|fault| matches!(fault.kind, FaultKind::Log));
-        let choice = self.rng.random_range(0..11_u8);
+        let choice = self.rng.random_range(0..14_u8);
+        let has_statements = self.has_statements(index);
         let kind = match choice {
             0 | 1 if !is_affected => {
                 views.record_down(index);
@@ -141,10 +153,21 @@
                 self.stop_node(cluster, views, index).await?;
                 self.count("planned stop", FaultKind::StopNode(index))
             }
-            5 if !is_affected => {
+            5 if !is_affected && !has_statements => {
                 cluster.kill_target(index);
                 self.count("kill target", FaultKind::KillTarget(index))
             }
+            11 | 12 if !is_affected && !has_statements => {
+                duration += STATEMENT_TIME;
+                let limit = f64::from(self.rng.random_range(2..20_u32));
+                cluster.set_statements(index, Some(limit), false).await;
+                self.count("target names a limit", FaultKind::LimitTarget(index))
+            }
+            13 if !is_affected && !has_statements => {
+                duration += STATEMENT_TIME;
+                cluster.set_statements(index, None, true).await;
+                self.count("target is leaving", FaultKind::LeavingTarget(index))
+            }
             10 if !is_data_centre_affected => {
                 for index in self.nodes_of(data_centre) {
                     views.record_down(index);
@@ -192,7 +215,16 @@
             | FaultKind::StopNode(other)
             | FaultKind::KillTarget(other) => other == index,
             FaultKind::KillDataCentre(data_centre) => index % self.data_centres == data_centre,
-            FaultKind::Log => false,
+            // Nodes fail while their targets state something.
+            FaultKind::LimitTarget(_) | FaultKind::LeavingTarget(_) | FaultKind::Log => false,
+        })
+    }
+
+    /// Returns `true` if the target next to a node states something at the moment.
+    fn has_statements(&self, index: usize) -> bool {
+        self.active.iter().any(|fault| match fault.kind {
+            FaultKind::LimitTarget(other) | FaultKind::LeavingTarget(other) => other == index,
+            _ => false,
         })
     }
 
--- a/testing/src/experiment/spread.rs
+++ b/testing/src/experiment/spread.rs
@@ -43,6 +43,7 @@
 /// Runs the experiment and prints the table.
 pub async fn run(options: SpreadOptions) -> Result<bool> {
     let mut cluster = TestCluster::start(ClusterPlan {
+        named_targets: false,
         nodes: options.nodes,
         data_centres: DATA_CENTRES.len(),
         tuning: options.tuning.replace(';', "\n"),
--- a/testing/src/lib.rs
+++ b/testing/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod plan;
 pub mod process;
 pub mod raw_target;
+pub mod statement;
 pub mod stating_target;
--- a/testing/src/plan.rs
+++ b/testing/src/plan.rs
@@ -27,6 +27,8 @@
     pub tuning: String,
     /// Whether a node exits when it detects a broken invariant.
     pub strict: bool,
+    /// Whether targets announce instance names, as those that state limits have to.
+    pub named_targets: bool,
     /// Log level of the nodes.
     pub log_level: &'static str,
 }
@@ -38,6 +40,7 @@
             data_centres: 1,
             tuning: String::new(),
             strict: true,
+            named_targets: false,
             log_level: "info",
         }
     }
--- /dev/null
+++ b/testing/src/statement.rs
@@ -0,0 +1,77 @@
+//! What a target stand-in states about itself, and the check that the mesh acts on it.
+//!
+//! A target knows best what reached it, so the stand-in itself counts the requests that it
+//! should not have got.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Time from a statement until the mesh must act on it: the time that the users' rules give
+/// for a limit.
+const LIMIT_GRACE: Duration = Duration::from_secs(3);
+
+/// Window over which requests are counted against a limit.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Time after which a target that stated that it is leaving may get no request.
+const LEAVING_GRACE: Duration = Duration::from_secs(2);
+
+/// Path of the stand-in on which it is told what to state.
+pub const STATEMENT_PATH: &str = "/x-statement";
+
+/// The statements of a target and when an answer first carried them.
+#[derive(Debug, Default)]
+pub struct StatementCheck {
+    limit: Option<f64>,
+    is_leaving: bool,
+    answered_at: Option<Instant>,
+    recent: VecDeque<Instant>,
+}
+
+impl StatementCheck {
+    /// Changes what the target states.
+    pub fn set(&mut self, limit: Option<f64>, is_leaving: bool) {
+        *self = Self {
+            limit,
+            is_leaving,
+            ..Self::default()
+        };
+    }
+
+    /// Returns the headers of an answer, which is sent now.
+    pub fn headers(&mut self, now: Instant) -> Vec<(&'static str, String)> {
+        self.answered_at.get_or_insert(now);
+        let limit = self
+            .limit
+            .map(|limit| ("wisteriaturn-target-limit", limit.to_string()));
+        let leaving = self
+            .is_leaving
+            .then(|| ("wisteriaturn-target-leaving", "1".to_owned()));
+        limit.into_iter().chain(leaving).collect()
+    }
+
+    /// Records a request. Returns a description if the target should not have got it.
+    pub fn record_request(&mut self, now: Instant) -> Option<String> {
+        let age = now.saturating_duration_since(self.answered_at?);
+        if self.is_leaving && age > LEAVING_GRACE {
+            return Some(format!(
+                "leaving: a request {age:?} after an answer that said so"
+            ));
+        }
+        let limit = self.limit.filter(|_| age > LIMIT_GRACE)?;
+        self.recent.push_back(now);
+        while self
+            .recent
+            .front()
+            .is_some_and(|first| now.saturating_duration_since(*first) >= LIMIT_WINDOW)
+        {
+            self.recent.pop_front();
+        }
+        let (count, allowed) = (
+            self.recent.len(),
+            limit * 1.5 * LIMIT_WINDOW.as_secs_f64() + 5.0,
+        );
+        (count as f64 > allowed)
+            .then(|| format!("limit: {count} requests in {LIMIT_WINDOW:?} at {limit} a second"))
+    }
+}
