rumors: return its departures to a node that was restarted

A target that had said that it is leaving got calls again after a restart of its node.

A node that starts is told by the members that it asks which of its targets left. The neighbours that it asked had been restarted with it and knew nothing; it became ready by the log and asked nobody else. Ruled out: the departure had been published and all others had taken the target out of their views 20 ms after the answer.

A member that hears of the restart now returns the departures that it remembers, if it is one of four that were running before; the others send nothing.

--- a/src/member/role.rs
+++ b/src/member/role.rs
@@ -33,6 +33,10 @@
 /// by a factor of ten.
 const FAST_LINK_DIVISOR: u32 = 2;
 
+/// Number of members that return its departures to a restarted one. Each sends a single
+/// datagram, which may be lost.
+const KEEPERS_PER_DEPARTURE: usize = 4;
+
 /// Returns `count` members by their hash weights for a role that sends a lot,
 /// preferring members with fast links. A role that reads or forwards whole
 /// configurations would saturate a slow link and delay the calls on it.
@@ -64,6 +68,21 @@
     choose_members_by_link("relay", &members, RELAYS_PER_DATA_CENTRE)
 }
 
+/// Returns the members that return its departures to a member that was restarted: some of
+/// those that were running before it, since the others know nothing of that time.
+pub fn departure_keepers(table: &MemberTable, restarted: NodeAddress) -> Vec<NodeAddress> {
+    let Some(incarnation) = table.get(restarted).map(|entry| entry.record.incarnation) else {
+        return Vec::new();
+    };
+    let members = table
+        .iter()
+        .map(|entry| &entry.record)
+        .filter(|record| record.state == MemberState::Alive && record.incarnation < incarnation)
+        .map(|record| record.address);
+    let role = format!("departures-of-{restarted}");
+    choose_members(&role, members, KEEPERS_PER_DEPARTURE)
+}
+
 /// Returns the one member of the whole mesh that writes snapshots.
 pub fn snapshot_writer(table: &MemberTable) -> Option<NodeAddress> {
     let members = table
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -142,6 +142,18 @@
         MergeOutcome::Applied
     }
 
+    /// Returns the departures that a member announced before it was restarted and has not
+    /// announced again since.
+    pub fn forgotten_departures(&self, address: NodeAddress) -> Vec<TargetDeparture> {
+        let Some(entry) = self.members.get(&address) else {
+            return Vec::new();
+        };
+        if !entry.record.is_live() || !entry.record.departures.is_empty() {
+            return Vec::new();
+        }
+        entry.departures.clone()
+    }
+
     /// Records that a member holds a configuration version. A lower version
     /// than before is ignored.
     pub fn record_held_version(&mut self, address: NodeAddress, version: ConfigVersion) {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -108,6 +108,11 @@
             /// Time since the source's last answer to the sender, in milliseconds.
             answer_age_ms: u32,
         },
+        /// Returns to a restarted node the departures that it announced before.
+        Departures {
+            /// The departures.
+            departures: Vec<TargetDeparture>,
+        },
     }
 
     /// A request that is sent over a connection.
--- a/tests/integration/process_limit.rs
+++ b/tests/integration/process_limit.rs
@@ -174,3 +174,29 @@
     cluster.remove_folder();
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_asked_no_peer_at_its_start_is_told_which_targets_left() -> Result<()> {
+    let (mut cluster, target) = start_stating_target().await?;
+    let callers = Callers::start(&cluster, &[1]);
+    target.state(&[(LEAVING_HEADER, "1")]);
+    cluster.wait_targets(1, "portal", 0).await?;
+    callers.stop().await?;
+    cluster.kill_node(0);
+    // Without seeds, the node reads the log and is ready before it knows any member.
+    let path = cluster.settings_path(0);
+    let settings = std::fs::read_to_string(&path)?;
+    let lines = settings.lines().filter(|line| !line.starts_with("seeds"));
+    std::fs::write(&path, lines.collect::<Vec<_>>().join("\n"))?;
+    cluster.start_node(0)?;
+    cluster
+        .wait_for("the node to be told", async || {
+            let output = std::fs::read_to_string(cluster.output_path(0));
+            output.is_ok_and(|output| output.contains("event=departures-restored"))
+        })
+        .await?;
+    cluster.wait_targets(0, "portal", 0).await?;
+    cluster.wait_targets(1, "portal", 0).await?;
+    cluster.remove_folder();
+    Ok(())
+}
--- a/wisteriaturnd/src/mesh/gossip.rs
+++ b/wisteriaturnd/src/mesh/gossip.rs
@@ -22,6 +22,7 @@
 
 use crate::control::documents;
 use crate::control::store::FoldOutcome;
+use crate::gate::targets;
 use crate::mesh::peer_client;
 use crate::mesh::rumors;
 use crate::metrics::TrafficKind;
@@ -194,6 +195,9 @@
             let answer_age = Duration::from_millis(answer_age_ms.into());
             documents::handle_heartbeat(node, from, version, position, answer_age);
         }
+        Datagram::Departures { departures } => {
+            targets::restore_departures(node, &departures).await;
+        }
         Datagram::Rumors { rumors } => rumors::receive(node, from, rumors, true).await,
     }
 }
--- a/wisteriaturnd/src/mesh/peer_client.rs
+++ b/wisteriaturnd/src/mesh/peer_client.rs
@@ -21,6 +21,7 @@
 use crate::http::pool::CONNECT_TIMEOUT;
 use crate::mesh::gossip;
 use crate::mesh::handshake::{self, PortKind};
+use crate::mesh::rumors;
 use crate::metrics::TrafficKind;
 use crate::node::{NodeHandle, NodeState};
 
@@ -285,11 +286,8 @@
 /// Merges member records into the member table, and wakes the task that
 /// rebuilds the view.
 pub fn merge_records(node: &NodeHandle, records: Vec<MemberRecord>) {
-    let now = node.clock.now();
-    let mut table = lock(&node.table);
     for record in records {
-        table.merge(record, now);
+        rumors::merge_member(node, record);
     }
-    drop(table);
     node.members_changed.notify_one();
 }
--- a/wisteriaturnd/src/mesh/rumors.rs
+++ b/wisteriaturnd/src/mesh/rumors.rs
@@ -11,9 +11,9 @@
 use wisteriaturn::clock::lock;
 use wisteriaturn::ids::{DataCentre, NodeAddress};
 use wisteriaturn::member::record::MemberRecord;
-use wisteriaturn::member::role::relays;
+use wisteriaturn::member::role::{departure_keepers, relays};
 use wisteriaturn::member::rumor::Rumor;
-use wisteriaturn::member::table::MergeOutcome;
+use wisteriaturn::member::table::{MemberTable, MergeOutcome};
 use wisteriaturn::peer::message::Datagram;
 
 use crate::mesh::gossip::{fanout_peers, send};
@@ -46,27 +46,54 @@
     forward_to_remote_relays(node, from, new_rumors).await;
 }
 
+/// Merges the record of a member into the table. If the member was restarted, returns
+/// its earlier departures to it: it may have asked only members that were restarted as
+/// well.
+pub fn merge_member(node: &NodeHandle, record: MemberRecord) -> MergeOutcome {
+    let address = record.address;
+    let (outcome, departures) = {
+        let mut table = lock(&node.table);
+        let incarnation = |table: &MemberTable| {
+            let entry = table.get(address);
+            entry.map(|entry| entry.record.incarnation)
+        };
+        let before = incarnation(&table);
+        let outcome = table.merge(record, node.clock.now());
+        let was_restarted = before.is_some() && incarnation(&table) > before;
+        let is_keeper =
+            was_restarted && departure_keepers(&table, address).contains(&node.address());
+        let departures = is_keeper.then(|| table.forgotten_departures(address));
+        (outcome, departures.unwrap_or_default())
+    };
+    if !departures.is_empty() {
+        log::info!(event = "departures-returned", member:% = address, known = departures.len(); "place");
+        let node = node.clone();
+        tokio::spawn(async move {
+            let datagram = Datagram::Departures { departures };
+            send(&node, address, &datagram, TrafficKind::Push).await;
+        });
+    }
+    outcome
+}
+
 /// Merges a rumor into the state of this node. Returns `true` if it was new.
 async fn merge(node: &NodeHandle, rumor: Rumor) -> bool {
     let now = node.clock.now();
     match rumor {
-        Rumor::Member(record) => {
-            let outcome = lock(&node.table).merge(record, now);
-            match outcome {
-                MergeOutcome::Applied => true,
-                MergeOutcome::Refuted => {
-                    let own = lock(&node.table).own().clone();
-                    log::info!(event = "refuted", sequence:% = own.sequence; "member");
-                    Box::pin(spread_own_record(node, own)).await;
-                    false
-                }
-                MergeOutcome::Full => {
-                    node.metrics.record_drop("member-table-full");
-                    false
-                }
-                _ => false,
+        Rumor::Member(record) => match merge_member(node, record) {
+            MergeOutcome::Applied => true,
+            MergeOutcome::Refuted => {
+                let own = lock(&node.table).own().clone();
+                log::info!(event = "refuted", sequence:% = own.sequence; "member");
+                Box::pin(spread_own_record(node, own)).await;
+                false
             }
-        }
+            MergeOutcome::Full => {
+                node.metrics.record_drop("member-table-full");
+                false
+            }
+            _ => false,
+        },
         Rumor::Suspect {
             fingerprint,
             node: target_node,
