--- a/testing/src/experiment/callers.rs
+++ b/testing/src/experiment/callers.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -22,9 +23,23 @@
     pub outcomes_by_run: Mutex<HashMap<String, Vec<String>>>,
     /// Number of answers that belonged to another request.
     pub mismatched: AtomicU64,
-    /// Attempts that ended without an answer: the index of the ingress, and when the
-    /// attempt ended.
-    pub interrupted: Mutex<Vec<(usize, std::time::Instant)>>,
+    /// Attempts that ended without an answer.
+    pub interrupted: Mutex<Vec<InterruptedAttempt>>,
+}
+
+/// An attempt that ended without an answer.
+#[derive(Debug)]
+pub struct InterruptedAttempt {
+    /// Index of the ingress.
+    pub index: usize,
+    /// When the attempt began.
+    pub began: Instant,
+    /// When it ended.
+    pub ended: Instant,
+    /// The run ID of the call.
+    pub id: String,
+    /// What the caller saw.
+    pub error: String,
 }
 
 /// The kinds of calls: reads without side effects, writes with an idempotency key, and
@@ -70,6 +85,7 @@
     }
     for attempt in 1..=max_attempts {
         let index = rng.random_range(0..ingresses.len());
+        let began = Instant::now();
         let reply = client::send(ingresses[index], method, path, &headers, b"{}").await;
         let (outcome, reason) = match &reply {
             Ok(reply) => {
@@ -79,7 +95,16 @@
                 }
                 (outcome, reply.header("wisteriaturn-reason").to_owned())
             }
-            Err(error) => failure_outcome(log, index, error),
+            Err(error) => {
+                let attempt = InterruptedAttempt {
+                    index,
+                    began,
+                    ended: Instant::now(),
+                    id: id.to_owned(),
+                    error: format!("{error:#}"),
+                };
+                failure_outcome(log, attempt, error)
+            }
         };
         let mut outcomes_by_run = log.outcomes_by_run.lock().expect("no panic");
         outcomes_by_run
@@ -98,7 +123,11 @@
 
 /// Returns the outcome of an attempt without an answer, with an empty reason: `port
 /// closed` if the connection was refused, or `cut`, which is also recorded in the log.
-fn failure_outcome(log: &CallerLog, index: usize, error: &eyre::Report) -> (String, String) {
+fn failure_outcome(
+    log: &CallerLog,
+    attempt: InterruptedAttempt,
+    error: &eyre::Report,
+) -> (String, String) {
     let is_refused = error
         .downcast_ref::<std::io::Error>()
         .is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused);
@@ -106,6 +135,6 @@
         return ("port closed".to_owned(), String::new());
     }
     let mut interrupted = log.interrupted.lock().expect("no panic");
-    interrupted.push((index, std::time::Instant::now()));
+    interrupted.push(attempt);
     ("cut".to_owned(), String::new())
 }
