start: ask seeds until one of them has been up

A seed that is not ready does not end the round of seeds any more. Nodes without seeds, as on the users' platform, are not concerned. By chance which seed is asked first, so there is no test of its own but the chaos runs.

--- a/wisteriaturnd/src/control/start.rs
+++ b/wisteriaturnd/src/control/start.rs
@@ -113,18 +113,19 @@
     }
 }
 
-/// Asks seeds until another member is known, then members until enough of the
+/// Asks seeds until one of them is ready, then members until enough of the
 /// asked peers are ready.
 async fn ask_peers(node: &NodeHandle) -> JoinReport {
     let mut report = JoinReport::default();
     let mut asked = BTreeSet::from([node.address()]);
     // A seed's answer names the other members. When many nodes restart at once,
     // the remaining requests go to these members, those of the same data centre
-    // first, and not to the few seeds.
+    // first, and not to the few seeds. A seed that is not ready has just been
+    // restarted itself: it knows few members, and not which targets have left.
     let mut seeds = node.settings.seeds.clone();
     seeds.shuffle(&mut rand::rng());
     for seed in seeds {
-        if lock(&node.table).len() > 1 {
+        if report.ready_peers > 0 {
             break;
         }
         if asked.insert(seed) {
