http: serve the connections that are queued when a port closes

The accept loop asked the runtime once more before it ended, but the runtime knows of a queued connection only after it has polled the system. Whatever was queued since was reset when the listener was dropped. The loop now takes the listener from the runtime and accepts until the queue itself is empty.

What arrives between the last look and the close, microseconds, can't be closed this way.

--- a/tests/integration/process_stop.rs
+++ b/tests/integration/process_stop.rs
@@ -5,9 +5,11 @@
 
 use eyre::Result;
 use serde_json::json;
+use tokio::net::TcpListener;
 use wisteriaturn_testing::client::{self, HttpConnection};
 use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
 use wisteriaturn_testing::metrics;
+use wisteriaturnd::http::listener::accept_queued;
 
 async fn portal_cluster(nodes: usize, targets: usize, slots: u16) -> Result<TestCluster> {
     let mut cluster = TestCluster::start(ClusterPlan {
@@ -385,3 +387,23 @@
     cluster.remove_folder();
     Ok(())
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn connections_in_the_queue_of_a_closing_port_are_served() -> Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    // The runtime has looked at the queue once and does not look again before the port closes.
+    tokio::select! {
+        biased;
+        accepted = listener.accept() => panic!("nobody has connected: {accepted:?}"),
+        () = tokio::task::yield_now() => {}
+    }
+    let callers: Vec<_> = (0..3)
+        .map(|_| std::net::TcpStream::connect(address))
+        .collect::<std::io::Result<_>>()?;
+    let accepted = accept_queued(listener);
+    assert_eq!(accepted.len(), callers.len());
+    let refused = std::net::TcpStream::connect(address);
+    assert!(refused.is_err(), "the port is closed");
+    Ok(())
+}
--- a/wisteriaturnd/src/http/listener.rs
+++ b/wisteriaturnd/src/http/listener.rs
@@ -83,20 +83,10 @@
     T: Future<Output = ()> + Send + 'static,
 {
     let semaphore = Arc::new(Semaphore::new(limits.max_connections));
-    let mut stage = node.stage.subscribe();
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            _ = stage.wait_for(|stage| *stage >= NodeStage::Stopping) => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+    let spawn_serving = |stream: TcpStream| {
         let Ok(permit) = Arc::clone(&semaphore).try_acquire_owned() else {
             node.metrics.record_drop(limits.drop_cause);
-            continue;
+            return;
         };
         let _ = stream.set_nodelay(true);
         let serving = serve(node.clone(), stream);
@@ -104,7 +94,51 @@
             serving.await;
             drop(permit);
         });
+    };
+    let mut stage = node.stage.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = stage.wait_for(|stage| *stage >= NodeStage::Stopping) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => spawn_serving(stream),
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+    for stream in accept_queued(listener) {
+        spawn_serving(stream);
+    }
+}
+
+/// Closes a listener and returns the connections that were in its queue.
+///
+/// [`TcpListener::accept`] is ready only after the runtime has polled the operating
+/// system. A connection that was queued since would be reset, although its caller may
+/// have sent a request. So the queue itself is asked, right before it is closed.
+pub fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!(event = "accept-failed", port = "closing", error:% = error; "node");
+            return streams;
+        }
+    };
+    // The listener does not block, so an empty queue is an error as well.
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
+        match stream {
+            Ok(stream) => streams.push(stream),
+            Err(error) => {
+                log::warn!(event = "accept-failed", port = "closing", error:% = error; "node");
+            }
+        }
     }
+    streams
 }
 
 /// Serves HTTP on one connection until it closes or the node stops.
