lifecycle: a stop waits for the tasks that accept connections

The stop waits until no connection is open. The accept loops were not among what it waits for: with no other connection open it went on to the end of the process before they had served what was still queued. They are now.

Evidence: the test, in which 40 tasks connect at the moment at which the port closes, failed before (no answer, twice in two runs) and passes.

--- a/tests/integration/embedded_link.rs
+++ b/tests/integration/embedded_link.rs
@@ -1,6 +1,8 @@
 //! Failures of the link to a gate. The nodes run in the test's process, so that
 //! a single link between two of them can be cut.
 
+use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,7 +17,7 @@
 use wisteriaturn_testing::forwarder::TcpForwarder;
 use wisteriaturnd::gate::targets::{self, TargetAnnouncement};
 use wisteriaturnd::lifecycle::RunningNode;
-use wisteriaturnd::node::{AddressMap, NodeBuilder};
+use wisteriaturnd::node::{AddressMap, NodeBuilder, NodeHandle, NodeStage};
 use wisteriaturnd::settings::NodeSettings;
 use wisteriaturnd::stream::memory::memory_log;
 
@@ -209,3 +211,43 @@
     cluster.remove_folder();
     Ok(())
 }
+
+/// Connects to a port and sends a request at the moment at which the node closes its ports.
+/// Returns `None` if the port is closed by then.
+async fn call_at_close(node: NodeHandle, ingress: SocketAddr) -> Option<std::net::TcpStream> {
+    let mut stage = node.stage.subscribe();
+    let _ = stage.wait_for(|stage| *stage >= NodeStage::Stopping).await;
+    // Blocking calls, so that no task of the node runs in between.
+    let mut stream = std::net::TcpStream::connect(ingress).ok()?;
+    let request = b"GET /dispatch HTTP/1.1\r\nhost: x\r\n\r\n";
+    stream.write_all(request).expect("the connection is open");
+    Some(stream)
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn calls_that_arrive_as_the_port_closes_are_answered() -> Result<()> {
+    let (cluster, mut nodes, _forwarder) = start().await?;
+    let mut connected = 0;
+    while let Some(running) = nodes.pop() {
+        let ingress = cluster.ingress(nodes.len());
+        // The order in which the tasks learn of the stop is random.
+        let callers: Vec<_> = (0..40)
+            .map(|_| tokio::spawn(call_at_close(running.node.clone(), ingress)))
+            .collect();
+        tokio::task::yield_now().await;
+        running.stop().await;
+        for caller in callers {
+            let Some(mut stream) = caller.await? else {
+                continue;
+            };
+            connected += 1;
+            let mut start = [0; 8];
+            stream.set_read_timeout(Some(Duration::from_secs(30)))?;
+            stream.read_exact(&mut start)?;
+            assert_eq!(&start, b"HTTP/1.1");
+        }
+    }
+    assert!(connected > 0, "no caller was in time");
+    cluster.remove_folder();
+    Ok(())
+}
--- a/wisteriaturnd/src/lifecycle.rs
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -63,9 +63,11 @@
         tokio::spawn(gossip::view_task(node.clone()));
         tokio::spawn(peer_server::accept_task(node.clone(), peer));
         tokio::spawn(admin::port::accept_task(node.clone(), admin));
+        // A stop also waits for the tasks that accept connections: as they end, they serve
+        // those that are still queued.
         let tracker = connections.clone();
-        tokio::spawn(gate::port::accept_task(node.clone(), hop, tracker.clone()));
-        tokio::spawn(ingress::port::accept_task(node.clone(), ingress, tracker));
+        connections.spawn(gate::port::accept_task(node.clone(), hop, tracker.clone()));
+        connections.spawn(ingress::port::accept_task(node.clone(), ingress, tracker));
         tokio::spawn(targets::expire_task(node.clone()));
         if let Some(port) = node.documents.clone() {
             tokio::spawn(documents::follow_task(node.clone(), port));
