--- a/testing/src/bin/target-standin.rs
+++ b/testing/src/bin/target-standin.rs
@@ -172,7 +172,11 @@
     }
     let violation = lock(&state.statements).record_request(Instant::now());
     if let Some(violation) = violation {
-        append_line(state.violations.as_ref(), &violation);
+        let (address, now_ms) = (state.address, SystemClock.unix_millis());
+        append_line(
+            state.violations.as_ref(),
+            &format!("{address} {now_ms} {violation}"),
+        );
     }
     state.running.fetch_add(1, Ordering::Relaxed);
     let mut response = run(state, request).await;
--- a/testing/src/cluster.rs
+++ b/testing/src/cluster.rs
@@ -14,7 +14,7 @@
 use crate::client::{self, HttpReply};
 pub use crate::plan::{ClusterPlan, DATA_CENTRES, MESH_SECRET};
 use crate::process::{OwnedProcess, program_path};
-use crate::statement::STATEMENT_PATH;
+use crate::statement::{STATEMENT_PATH, StatementViolation};
 
 /// Timeout of every wait for a condition. It is far above what the conditions need,
 /// so that no test fails because the machine is busy.
@@ -379,10 +379,19 @@
         counts
     }
 
-    /// Returns the requests that targets should not have got after what they stated.
-    pub fn violations(&self) -> Vec<String> {
+    /// Returns the requests that targets should not have got after what they stated: the
+    /// index of the node, when the request arrived in milliseconds since the Unix epoch,
+    /// and the violation.
+    pub fn violations(&self) -> Vec<(usize, u64, StatementViolation)> {
         let text = std::fs::read_to_string(self.violations_path()).unwrap_or_default();
-        text.lines().map(str::to_owned).collect()
+        let parse = |line: &str| {
+            let (address, rest) = line.split_once(' ')?;
+            let (at_ms, violation) = rest.split_once(' ')?;
+            let address = address.parse().ok()?;
+            let index = (0..self.plan.nodes).find(|node| self.target_address(*node) == address)?;
+            Some((index, at_ms.parse().ok()?, violation.parse().ok()?))
+        };
+        text.lines().filter_map(parse).collect()
     }
 
     /// Tells a target what to state in its answers from now on. A target that is down is
--- a/testing/src/experiment/faults.rs
+++ b/testing/src/experiment/faults.rs
@@ -6,6 +6,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use wisteriaturn::clock::{Clock, SystemClock};
+
 use crate::cluster::TestCluster;
 use crate::experiment::observer::ViewLog;
 
@@ -13,6 +15,25 @@
 /// a limit is checked.
 const STATEMENT_TIME: Duration = Duration::from_secs(7);
 
+/// Time that a started node takes at most until it knows what the others know.
+const LEARNING_TIME_MS: u64 = 1_000;
+
+/// A time in which a node was not running, in milliseconds since the Unix epoch.
+#[derive(Debug)]
+struct NodeAbsence {
+    index: usize,
+    /// Whether the node was only frozen. It forgets nothing then.
+    is_frozen: bool,
+    began_ms: u64,
+    ended_ms: u64,
+}
+
+impl NodeAbsence {
+    fn overlaps(&self, from_ms: u64, to_ms: u64) -> bool {
+        self.began_ms <= to_ms && from_ms <= self.ended_ms
+    }
+}
+
 /// An injected fault and the time at which it is undone.
 #[derive(Debug)]
 struct ActiveFault {
@@ -44,6 +65,7 @@
     pub counts: std::collections::BTreeMap<&'static str, u32>,
     /// Planned stops of nodes: the node's index, and when the stop began and ended.
     pub stops: Vec<(usize, Instant, Instant)>,
+    absences: Vec<NodeAbsence>,
     /// Number of planned stops after which the node didn't exit with status 0 within 60
     /// seconds.
     pub failed_stops: u32,
@@ -60,6 +82,7 @@
             next_fault_at: Instant::now(),
             counts: Default::default(),
             stops: Vec::new(),
+            absences: Vec::new(),
             failed_stops: 0,
         }
     }
@@ -98,16 +121,19 @@
             match fault.kind {
                 FaultKind::KillNode(index) | FaultKind::StopNode(index) => {
                     cluster.start_node(index)?;
+                    self.end_absence(index);
                     views.record_up(index);
                 }
                 FaultKind::FreezeNode(index) => {
                     cluster.node_process(index).send_signal("CONT");
+                    self.end_absence(index);
                     views.record_up(index);
                 }
                 FaultKind::KillTarget(index) => start_target(cluster, index)?,
                 FaultKind::KillDataCentre(data_centre) => {
                     for index in self.nodes_of(data_centre) {
                         cluster.start_node(index)?;
+                        self.end_absence(index);
                         views.record_up(index);
                     }
                 }
@@ -141,11 +167,13 @@
         let kind = match choice {
             0 | 1 if !is_affected => {
                 views.record_down(index);
+                self.begin_absence(index, false);
                 cluster.kill_node(index);
                 self.count("kill node", FaultKind::KillNode(index))
             }
             2 | 3 if !is_affected => {
                 views.record_down(index);
+                self.begin_absence(index, true);
                 cluster.node_process(index).send_signal("STOP");
                 self.count("freeze node", FaultKind::FreezeNode(index))
             }
@@ -171,6 +199,7 @@
             10 if !is_data_centre_affected => {
                 for index in self.nodes_of(data_centre) {
                     views.record_down(index);
+                    self.begin_absence(index, false);
                     cluster.kill_node(index);
                 }
                 self.count("kill data centre", FaultKind::KillDataCentre(data_centre))
@@ -240,6 +269,7 @@
         // be cut.
         cluster.wait_node_listening(index).await?;
         let began = Instant::now();
+        self.begin_absence(index, false);
         cluster.node_process(index).send_signal("TERM");
         let ended =
             tokio::time::timeout(Duration::from_secs(60), cluster.node_process(index).wait()).await;
@@ -252,6 +282,47 @@
         Ok(())
     }
 
+    fn begin_absence(&mut self, index: usize, is_frozen: bool) {
+        self.absences.push(NodeAbsence {
+            index,
+            is_frozen,
+            began_ms: SystemClock.unix_millis(),
+            ended_ms: u64::MAX,
+        });
+    }
+
+    fn end_absence(&mut self, index: usize) {
+        let now_ms = SystemClock.unix_millis();
+        let open = self.absences.iter_mut().rev();
+        for absence in open.filter(|absence| absence.index == index).take(1) {
+            absence.ended_ms = now_ms + LEARNING_TIME_MS;
+        }
+    }
+
+    /// Returns `true` if a node cannot be blamed for what it did not know between two times:
+    /// it was frozen itself, or at some moment no node was left that knew.
+    pub fn excuses(&self, index: usize, from_ms: u64, to_ms: u64) -> bool {
+        let during: Vec<_> = self
+            .absences
+            .iter()
+            .filter(|absence| absence.overlaps(from_ms, to_ms))
+            .collect();
+        let was_frozen = during
+            .iter()
+            .any(|absence| absence.is_frozen && absence.index == index);
+        let is_all_lost = |at_ms: u64| {
+            (0..self.nodes).all(|node| {
+                during.iter().any(|absence| {
+                    !absence.is_frozen && absence.index == node && absence.overlaps(at_ms, at_ms)
+                })
+            })
+        };
+        was_frozen
+            || during
+                .iter()
+                .any(|absence| is_all_lost(absence.began_ms.max(from_ms)))
+    }
+
     /// Counts a fault under a name and returns its kind.
     fn count(&mut self, name: &'static str, kind: FaultKind) -> FaultKind {
         *self.counts.entry(name).or_default() += 1;
--- a/testing/src/statement.rs
+++ b/testing/src/statement.rs
@@ -4,8 +4,12 @@
 //! should not have got.
 
 use std::collections::VecDeque;
+use std::fmt;
+use std::str::FromStr;
 use std::time::{Duration, Instant};
 
+use eyre::eyre;
+
 /// Time from a statement until the mesh must act on it: the time that the users' rules give
 /// for a limit.
 const LIMIT_GRACE: Duration = Duration::from_secs(3);
@@ -19,6 +23,61 @@
 /// Path of the stand-in on which it is told what to state.
 pub const STATEMENT_PATH: &str = "/x-statement";
 
+/// What a target should not have got a request after.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StatementKind {
+    /// It named a limit.
+    Limit,
+    /// It stated that it is leaving.
+    Leaving,
+}
+
+/// A request that a target should not have got after what it stated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StatementViolation {
+    /// What it stated.
+    pub kind: StatementKind,
+    /// Time since an answer first carried that, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl StatementViolation {
+    fn new(kind: StatementKind, age: Duration) -> Self {
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        Self { kind, age_ms }
+    }
+}
+
+impl fmt::Display for StatementViolation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = match self.kind {
+            StatementKind::Limit => LIMIT_NAME,
+            StatementKind::Leaving => LEAVING_NAME,
+        };
+        write!(f, "{kind} {}", self.age_ms)
+    }
+}
+
+impl FromStr for StatementViolation {
+    type Err = eyre::Report;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let malformed = || eyre!("{text:?} is not a violation");
+        let (kind, age_ms) = text.split_once(' ').ok_or_else(malformed)?;
+        let kind = match kind {
+            LIMIT_NAME => StatementKind::Limit,
+            LEAVING_NAME => StatementKind::Leaving,
+            _ => return Err(malformed()),
+        };
+        let age_ms = age_ms.parse()?;
+        Ok(Self { kind, age_ms })
+    }
+}
+
+const LIMIT_NAME: &str = "limit";
+
+const LEAVING_NAME: &str = "leaving";
+
 /// The statements of a target and when an answer first carried them.
 #[derive(Debug, Default)]
 pub struct StatementCheck {
@@ -50,13 +109,11 @@
         limit.into_iter().chain(leaving).collect()
     }
 
-    /// Records a request. Returns a description if the target should not have got it.
-    pub fn record_request(&mut self, now: Instant) -> Option<String> {
+    /// Records a request. Returns the violation if the target should not have got it.
+    pub fn record_request(&mut self, now: Instant) -> Option<StatementViolation> {
         let age = now.saturating_duration_since(self.answered_at?);
         if self.is_leaving && age > LEAVING_GRACE {
-            return Some(format!(
-                "leaving: a request {age:?} after an answer that said so"
-            ));
+            return Some(StatementViolation::new(StatementKind::Leaving, age));
         }
         let limit = self.limit.filter(|_| age > LIMIT_GRACE)?;
         self.recent.push_back(now);
@@ -71,7 +128,6 @@
             self.recent.len(),
             limit * 1.5 * LIMIT_WINDOW.as_secs_f64() + 5.0,
         );
-        (count as f64 > allowed)
-            .then(|| format!("limit: {count} requests in {LIMIT_WINDOW:?} at {limit} a second"))
+        (count as f64 > allowed).then(|| StatementViolation::new(StatementKind::Limit, age))
     }
 }
