testing: excuse a request to a leaving target only shortly after a return

The check of chaos excused a request whenever the target's node had been frozen, or all nodes had been down, at any time since the target's answer. Now the node must also have come back within the last second, and a freeze counts only if it covers the answer.

A line of the violations that cannot be read is an error now; it was passed over. The figures of the users' rules, three copies, stand in one place; the bounds are the same.

--- a/testing/src/cluster.rs
+++ b/testing/src/cluster.rs
@@ -382,16 +382,26 @@
     /// Returns the requests that targets should not have got after what they stated: the
     /// index of the node, when the request arrived in milliseconds since the Unix epoch,
     /// and the violation.
-    pub fn violations(&self) -> Vec<(usize, u64, StatementViolation)> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a line cannot be read, so that no violation is overlooked.
+    pub fn violations(&self) -> Result<Vec<(usize, u64, StatementViolation)>> {
         let text = std::fs::read_to_string(self.violations_path()).unwrap_or_default();
-        let parse = |line: &str| {
-            let (address, rest) = line.split_once(' ')?;
-            let (at_ms, violation) = rest.split_once(' ')?;
-            let address = address.parse().ok()?;
-            let index = (0..self.plan.nodes).find(|node| self.target_address(*node) == address)?;
-            Some((index, at_ms.parse().ok()?, violation.parse().ok()?))
-        };
-        text.lines().filter_map(parse).collect()
+        text.lines()
+            .map(|line| self.parse_violation(line))
+            .collect()
+    }
+
+    fn parse_violation(&self, line: &str) -> Result<(usize, u64, StatementViolation)> {
+        let malformed = || eyre!("{line:?} is not a line of a target's violations");
+        let (address, rest) = line.split_once(' ').ok_or_else(malformed)?;
+        let (at_ms, violation) = rest.split_once(' ').ok_or_else(malformed)?;
+        let address: SocketAddr = address.parse()?;
+        let index = (0..self.plan.nodes)
+            .find(|node| self.target_address(*node) == address)
+            .ok_or_else(malformed)?;
+        Ok((index, at_ms.parse()?, violation.parse()?))
     }
 
     /// Tells a target what to state in its answers from now on. A target that is down is
--- a/testing/src/experiment/chaos.rs
+++ b/testing/src/experiment/chaos.rs
@@ -211,12 +211,12 @@
         ("accepted versions lost", lost, 0),
         (
             "requests beyond a target's limit",
-            count_violations(cluster, faults, StatementKind::Limit),
+            count_violations(cluster, faults, StatementKind::Limit)?,
             0,
         ),
         (
             "requests to a target that said it is leaving",
-            count_violations(cluster, faults, StatementKind::Leaving),
+            count_violations(cluster, faults, StatementKind::Leaving)?,
             0,
         ),
         ("invariant violations in the nodes", violations as u64, 0),
@@ -255,11 +255,14 @@
 }
 
 /// Returns the number of violations of one kind of statement that no fault excuses, and
-/// prints them. Nothing excuses a limit that was exceeded. A target that is leaving may get
-/// a request if its node was frozen when it said so, or if all nodes were restarted since.
-fn count_violations(cluster: &TestCluster, faults: &FaultInjector, kind: StatementKind) -> u64 {
+/// prints them. Nothing excuses a limit that was exceeded.
+fn count_violations(
+    cluster: &TestCluster,
+    faults: &FaultInjector,
+    kind: StatementKind,
+) -> Result<u64> {
     let mut count = 0;
-    for (index, at_ms, violation) in cluster.violations() {
+    for (index, at_ms, violation) in cluster.violations()? {
         let stated_ms = at_ms.saturating_sub(violation.age_ms);
         let is_excused = kind == StatementKind::Leaving && faults.excuses(index, stated_ms, at_ms);
         if violation.kind == kind && !is_excused {
@@ -267,7 +270,7 @@
             count += 1;
         }
     }
-    count
+    Ok(count)
 }
 
 /// Prints how many calls of each kind ended with each outcome and reason.
--- a/testing/src/experiment/faults.rs
+++ b/testing/src/experiment/faults.rs
@@ -18,6 +18,9 @@
 /// Time that a started node takes at most until it knows what the others know.
 const LEARNING_TIME_MS: u64 = 1_000;
 
+/// Time that an answer of a target takes at most to its node.
+const DELIVERY_TIME_MS: u64 = 100;
+
 /// A time in which a node was not running, in milliseconds since the Unix epoch.
 #[derive(Debug)]
 struct NodeAbsence {
@@ -293,34 +296,42 @@
 
     fn end_absence(&mut self, index: usize) {
         let now_ms = SystemClock.unix_millis();
-        let open = self.absences.iter_mut().rev();
-        for absence in open.filter(|absence| absence.index == index).take(1) {
+        let mut latest = self.absences.iter_mut().rev();
+        if let Some(absence) = latest.find(|absence| absence.index == index) {
             absence.ended_ms = now_ms + LEARNING_TIME_MS;
         }
     }
 
-    /// Returns `true` if a node cannot be blamed for what it did not know between two times:
-    /// it was frozen itself, or at some moment no node was left that knew.
-    pub fn excuses(&self, index: usize, from_ms: u64, to_ms: u64) -> bool {
-        let during: Vec<_> = self
+    /// Returns `true` if a node cannot be blamed at `at_ms` for what its target stated at
+    /// `stated_ms`: the node has just returned, and either it was frozen when the target
+    /// said so, or at some moment no node was left that knew.
+    pub fn excuses(&self, index: usize, stated_ms: u64, at_ms: u64) -> bool {
+        let has_returned =
+            |absence: &&NodeAbsence| absence.index == index && absence.overlaps(at_ms, at_ms);
+        self.absences.iter().filter(has_returned).any(|absence| {
+            if absence.is_frozen {
+                absence.began_ms <= stated_ms + DELIVERY_TIME_MS
+            } else {
+                self.was_all_lost(stated_ms, at_ms)
+            }
+        })
+    }
+
+    /// Returns `true` if all nodes were down at some moment between two times.
+    fn was_all_lost(&self, from_ms: u64, to_ms: u64) -> bool {
+        let down: Vec<_> = self
             .absences
             .iter()
-            .filter(|absence| absence.overlaps(from_ms, to_ms))
+            .filter(|absence| !absence.is_frozen && absence.overlaps(from_ms, to_ms))
             .collect();
-        let was_frozen = during
-            .iter()
-            .any(|absence| absence.is_frozen && absence.index == index);
-        let is_all_lost = |at_ms: u64| {
-            (0..self.nodes).all(|node| {
-                during.iter().any(|absence| {
-                    !absence.is_frozen && absence.index == node && absence.overlaps(at_ms, at_ms)
-                })
-            })
+        let is_down = |node: usize, at_ms: u64| {
+            down.iter()
+                .any(|absence| absence.index == node && absence.overlaps(at_ms, at_ms))
         };
-        was_frozen
-            || during
-                .iter()
-                .any(|absence| is_all_lost(absence.began_ms.max(from_ms)))
+        down.iter().any(|absence| {
+            let at_ms = absence.began_ms.max(from_ms);
+            (0..self.nodes).all(|node| is_down(node, at_ms))
+        })
     }
 
     /// Counts a fault under a name and returns its kind.
--- a/testing/src/statement.rs
+++ b/testing/src/statement.rs
@@ -12,13 +12,19 @@
 
 /// Time from a statement until the mesh must act on it: the time that the users' rules give
 /// for a limit.
-const LIMIT_GRACE: Duration = Duration::from_secs(3);
+pub const LIMIT_GRACE: Duration = Duration::from_secs(3);
 
 /// Window over which requests are counted against a limit.
-const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
 /// Time after which a target that stated that it is leaving may get no request.
-const LEAVING_GRACE: Duration = Duration::from_secs(2);
+pub const LEAVING_GRACE: Duration = Duration::from_secs(2);
+
+/// Returns the number of requests within [`LIMIT_WINDOW`] that the users' rules allow at a
+/// limit of `limit` requests per second.
+pub fn allowed_requests(limit: f64) -> f64 {
+    limit * 1.5 * LIMIT_WINDOW.as_secs_f64() + 5.0
+}
 
 /// Path of the stand-in on which it is told what to state.
 pub const STATEMENT_PATH: &str = "/x-statement";
@@ -124,10 +130,7 @@
         {
             self.recent.pop_front();
         }
-        let (count, allowed) = (
-            self.recent.len(),
-            limit * 1.5 * LIMIT_WINDOW.as_secs_f64() + 5.0,
-        );
-        (count as f64 > allowed).then(|| StatementViolation::new(StatementKind::Limit, age))
+        (self.recent.len() as f64 > allowed_requests(limit))
+            .then(|| StatementViolation::new(StatementKind::Limit, age))
     }
 }
--- a/tests/integration/limit_rules.rs
+++ b/tests/integration/limit_rules.rs
@@ -12,8 +12,7 @@
 use wisteriaturn::gate::rate::TokenBucket;
 use wisteriaturn::gate::slots::{QueueRank, SlotGate, SlotRequest};
 use wisteriaturn::ids::{CallPriority, Incarnation, RequestRate};
-
-const WINDOW: Duration = Duration::from_secs(4);
+use wisteriaturn_testing::statement::{LIMIT_WINDOW, allowed_requests};
 
 fn rate(per_second: f64) -> RequestRate {
     RequestRate::try_from(per_second).expect("a rate")
@@ -47,8 +46,8 @@
             }
         }
         for first in &sent {
-            let within = sent.iter().filter(|at| **at >= *first && **at < *first + WINDOW).count();
-            prop_assert!(within as f64 <= most * 1.5 * WINDOW.as_secs_f64() + 5.0);
+            let within = sent.iter().filter(|at| **at >= *first && **at < *first + LIMIT_WINDOW).count();
+            prop_assert!(within as f64 <= allowed_requests(most));
         }
     }
 
--- a/tests/integration/process_limit.rs
+++ b/tests/integration/process_limit.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinHandle;
 use wisteriaturn_testing::client;
 use wisteriaturn_testing::cluster::{ClusterPlan, TestCluster};
+use wisteriaturn_testing::statement::{LEAVING_GRACE, LIMIT_GRACE, LIMIT_WINDOW, allowed_requests};
 use wisteriaturn_testing::stating_target::{
     Arrival, CALLER_HEADER, RUN_TIME_HEADER, StatingTarget, most_within,
 };
@@ -16,19 +17,6 @@
 const LIMIT_HEADER: &str = "wisteriaturn-target-limit";
 const LEAVING_HEADER: &str = "wisteriaturn-target-leaving";
 
-/// Time in which all nodes must keep a limit that was named, and the window over which it
-/// is counted, as the users' rules state them.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
-const LIMIT_WINDOW: Duration = Duration::from_secs(4);
-
-/// Time after which no request may reach a target that said that it is leaving.
-const DRAIN_TIME: Duration = Duration::from_secs(2);
-
-/// Returns the number of requests within [`LIMIT_WINDOW`] that the users' rules allow.
-fn allowed(limit: f64) -> usize {
-    (limit * 1.5 * LIMIT_WINDOW.as_secs_f64() + 5.0) as usize
-}
-
 /// Returns the requests of one caller that arrived after `from`.
 fn arrivals_of(target: &StatingTarget, caller: &str, from: Instant) -> Vec<Arrival> {
     let mut arrivals = target.arrivals();
@@ -108,10 +96,13 @@
         .await?;
     target.state(&[(LIMIT_HEADER, "7.5")]);
     let named_at = Instant::now();
-    tokio::time::sleep(CONTACT_TIME + LIMIT_WINDOW + LIMIT_WINDOW / 2).await;
-    let limited = arrivals_of(&target, "", named_at + CONTACT_TIME);
+    tokio::time::sleep(LIMIT_GRACE + LIMIT_WINDOW + LIMIT_WINDOW / 2).await;
+    let limited = arrivals_of(&target, "", named_at + LIMIT_GRACE);
     let most = most_within(&limited, LIMIT_WINDOW);
-    assert!(most <= allowed(7.5), "{most} requests in {LIMIT_WINDOW:?}");
+    assert!(
+        most as f64 <= allowed_requests(7.5),
+        "{most} requests in {LIMIT_WINDOW:?}"
+    );
     assert!(limited.len() > 10, "the limit stopped all calls");
     // The target answers now and then, so the nodes learn that the limit is over.
     target.state(&[]);
@@ -135,7 +126,7 @@
         .wait_for("calls", async || target.arrivals().len() > 3)
         .await?;
     let named_at = Instant::now();
-    tokio::time::sleep(CONTACT_TIME).await;
+    tokio::time::sleep(LIMIT_GRACE).await;
     for _ in 0..2 {
         cluster.kill_node(0);
         cluster.start_node(0)?;
@@ -144,9 +135,12 @@
     }
     tokio::time::sleep(LIMIT_WINDOW).await;
     callers.stop().await?;
-    let limited = arrivals_of(&target, "1-", named_at + CONTACT_TIME);
+    let limited = arrivals_of(&target, "1-", named_at + LIMIT_GRACE);
     let most = most_within(&limited, LIMIT_WINDOW);
-    assert!(most <= allowed(1.0), "{most} requests in {LIMIT_WINDOW:?}");
+    assert!(
+        most as f64 <= allowed_requests(1.0),
+        "{most} requests in {LIMIT_WINDOW:?}"
+    );
     assert!(!limited.is_empty(), "no call after the restarts");
     cluster.remove_folder();
     Ok(())
@@ -163,13 +157,13 @@
     // Its announcements still say that it is serving. Neither they nor a restart of its node
     // bring it back.
     let stated_at = Instant::now();
-    tokio::time::sleep(DRAIN_TIME + Duration::from_secs(1)).await;
+    tokio::time::sleep(LEAVING_GRACE + Duration::from_secs(1)).await;
     cluster.kill_node(0);
     cluster.start_node(0)?;
     cluster.wait_node_ready(0).await?;
-    tokio::time::sleep(DRAIN_TIME).await;
+    tokio::time::sleep(LEAVING_GRACE).await;
     callers.stop().await?;
-    let late = arrivals_of(&target, "1-", stated_at + DRAIN_TIME);
+    let late = arrivals_of(&target, "1-", stated_at + LEAVING_GRACE);
     assert!(late.is_empty(), "{} calls reached it late", late.len());
     cluster.remove_folder();
     Ok(())
