ingress: take a call during a stop only if it can be answered in time

Cause: the ingress took every call until the gates of the node were empty, which lasts up to the drain timeout while its own target has a long run; nothing compared a call's deadline with the time left.

Evidence: in the node's log of the case all five calls are routed at once, 1.9 s after the lame duck, and the first stage that refuses begins together with `calls-cut`. Ruled out: calls taken in the lame duck, calls held by the gate of the other node.

Now each call is decided by itself (route/stop.rs): taken if its deadline passes before calls are cut or, while callers cannot know of the stop, if it is expected to end in time; else refused as not run, with the rest of the stop as Retry-After. So an answer is due before the cut for all that is taken once callers were told. The lame duck on the platform is at most 2.9 s, the time in which callers are told. A request that is read after the cut is refused, where it could be reported as interrupted.

--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -11,3 +11,4 @@
 pub mod estimate;
 pub mod limit;
 pub mod load;
+pub mod stop;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -28,5 +28,7 @@
 mod process_pipeline;
 mod process_routing;
 mod process_stop;
+mod process_stop_calls;
 mod route_rules;
+mod stop_rules;
 mod target_announcements;
--- a/wisteriaturnd/src/gate/admit.rs
+++ b/wisteriaturnd/src/gate/admit.rs
@@ -12,7 +12,7 @@
 use wisteriaturn::clock::lock;
 use wisteriaturn::gate::outcome::RefusalReason;
 use wisteriaturn::gate::quarantine::QuarantineStatus;
-use wisteriaturn::gate::slots::{LIKELY_RUN_FACTOR, QueueRank, SlotGate, SlotPermit, SlotRequest};
+use wisteriaturn::gate::slots::{QueueRank, SlotGate, SlotPermit, SlotRequest};
 
 use crate::error::LinkError;
 use crate::gate::notice::loggable_limit;
@@ -98,8 +98,8 @@
         .get(&call.service)
         .ok_or(RefusalReason::NoTarget)?;
     let run_time = expected_run_time(node, call, &target);
-    let closing_time = *lock(&node.gate_closes_at);
-    if closing_time.is_some_and(|closing| now + run_time.mul_f64(LIKELY_RUN_FACTOR) > closing) {
+    let schedule = node.stop_schedule.get();
+    if schedule.is_some_and(|schedule| !schedule.gate_takes(run_time, now)) {
         return Err(RefusalReason::Draining);
     }
     Ok(target)
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -31,7 +31,7 @@
 /// Maximum size of a request head, in bytes.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// Delay before a caller may retry a call that was refused before a target was
+/// Minimum delay before a caller may retry a call that was refused before a target was
 /// chosen.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -94,13 +94,15 @@
         .unwrap_or_default()
         .to_owned();
     let served = tokio::select! {
+        // A request that is read only now must be refused as not run, not interrupted.
+        biased;
         served = Box::pin(serve(node, request)) => served,
         () = wait_until_closing(node) => Ok(interrupted_call()),
     };
     let (response, route, permit) = match served {
         Ok(served) => (served.response, served.route, served.permit),
         Err(reason) => (
-            node.refusal(CallOutcome::NotRun, reason, RETRY_AFTER),
+            node.refusal(CallOutcome::NotRun, reason, retry_after(node, reason)),
             None,
             None,
         ),
@@ -173,12 +175,6 @@
     if !node.was_ready.load(Ordering::Acquire) {
         return Err(RefusalReason::NotReady);
     }
-    // With a lame-duck period, callers have been told in time that this node is
-    // stopping. A call that is accepted now could not finish before it does.
-    let has_lame_duck = !node.settings.tuning.lame_duck.is_zero();
-    if has_lame_duck && node.current_stage() >= NodeStage::Stopping {
-        return Err(RefusalReason::Draining);
-    }
     let view = node.view.load();
     check_request(node, &view, &request)?;
     let host = request_host(&request).ok_or(RefusalReason::BadRequest)?;
@@ -194,6 +190,7 @@
         .ok_or(RefusalReason::RouteLimit)?;
     let requested = headers::parsed_millis(request.headers(), &node.edge_headers.deadline_ms);
     let deadline = CallDeadline::for_call(&node.clock, route.spec.deadline(), requested);
+    check_stop(node, &route, deadline, &request)?;
     let call = prepare(node, view, Arc::clone(&route), deadline, request).await?;
     let response = attempt::run(node, call).await;
     Ok(ServedCall {
@@ -203,6 +200,48 @@
     })
 }
 
+/// Refuses a call if this node is about to stop and may end before the call does, and
+/// logs the refusal.
+fn check_stop<B>(
+    node: &NodeHandle,
+    route: &RouteEntry,
+    deadline: CallDeadline,
+    request: &Request<B>,
+) -> Result<(), RefusalReason> {
+    let Some(schedule) = node.stop_schedule.get() else {
+        return Ok(());
+    };
+    let now = node.clock.now();
+    let answer_time = node.answer_estimates.estimate(&route.spec.name).run_time;
+    if schedule.ingress_takes(deadline, answer_time, now) {
+        return Ok(());
+    }
+    let request_id = request.headers().get(&node.edge_headers.request_id);
+    log::info!(
+        event = "stop-refusal",
+        request:% = Sanitized::from_header(request_id),
+        route:% = route.spec.name,
+        stage:? = node.current_stage(),
+        left_ms = schedule.remaining(now).as_millis() as u64,
+        deadline_ms = deadline.remaining(now).as_millis() as u64,
+        answer_ms = answer_time.as_millis() as u64;
+        "call"
+    );
+    Err(RefusalReason::Draining)
+}
+
+/// Returns the delay before a caller may retry a call that was refused before a target
+/// was chosen.
+fn retry_after(node: &NodeHandle, reason: RefusalReason) -> Duration {
+    let schedule = match reason {
+        RefusalReason::Draining => node.stop_schedule.get(),
+        _ => None,
+    };
+    // While this node stops it would refuse the call again.
+    let remaining = schedule.map(|schedule| schedule.remaining(node.clock.now()));
+    remaining.unwrap_or_default().max(RETRY_AFTER)
+}
+
 /// Rejects a request if two HTTP implementations could disagree about its framing
 /// or host, or if its head or body is too large.
 fn check_request(
--- a/wisteriaturnd/src/lifecycle.rs
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -9,6 +9,7 @@
 use wisteriaturn::clock::lock;
 use wisteriaturn::invariant;
 use wisteriaturn::member::record::MemberState;
+use wisteriaturn::route::stop::StopSchedule;
 
 use crate::admin;
 use crate::control::documents;
@@ -98,19 +99,26 @@
     /// 3. Stopping: the ingress closes last, since a target may need it to
     ///    complete its own calls.
     ///
-    /// Calls that are still in flight when the drain timeout expires are answered
-    /// by the node itself.
+    /// From the start on, the ingress takes only the calls that can end before the drain
+    /// timeout expires; see [`StopSchedule`]. Calls that are still in flight then are
+    /// answered by the node itself.
     pub async fn stop(self) {
         let node = &self.node;
-        let drain_deadline = node.clock.now() + node.settings.tuning.drain_timeout;
+        let now = node.clock.now();
+        let drain_deadline = now + node.settings.tuning.drain_timeout;
         log::info!(event = "stopping", calls_at_gate = node.targets.in_flight(); "node");
         node.metrics.ready.set(0);
         // Callers need some time to notice that this node is not ready.
         let lame_duck = node.settings.tuning.lame_duck;
         let lame_duck_end = tokio::time::sleep(lame_duck);
         let gate_open_time = lame_duck.saturating_sub(DEPARTURE_NOTICE_TIME);
+        // A node stops only once.
+        let _ = node.stop_schedule.set(StopSchedule {
+            gates_close_at: now + gate_open_time,
+            callers_told_at: now + lame_duck.max(DEPARTURE_NOTICE_TIME),
+            calls_cut_at: drain_deadline,
+        });
         if !gate_open_time.is_zero() {
-            *lock(&node.gate_closes_at) = Some(node.clock.now() + gate_open_time);
             node.stage.send_replace(NodeStage::LameDuck);
             tokio::time::sleep(gate_open_time).await;
         }
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::ops::Deref;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
 
 use tokio::net::UdpSocket;
@@ -38,6 +38,7 @@
 use wisteriaturn::route::estimate::AnswerEstimator;
 use wisteriaturn::route::limit::RouteLimiter;
 use wisteriaturn::route::load::LoadTracker;
+use wisteriaturn::route::stop::StopSchedule;
 
 use crate::claims::client::ClaimClient;
 use crate::claims::keeper::ClaimKeeper;
@@ -149,8 +150,8 @@
     pub is_anti_entropy_running: AtomicBool,
     /// Detects that this node is isolated from all others.
     pub link_monitor: Mutex<LinkMonitor>,
-    /// When the gate starts to refuse calls, once the node is about to stop.
-    pub gate_closes_at: Mutex<Option<Instant>>,
+    /// The schedule of the node's stop, once it is about to stop.
+    pub stop_schedule: OnceLock<StopSchedule>,
     /// Number of target losses recorded at this gate.
     pub loss_count: AtomicU64,
     retry_budgets: Mutex<BTreeMap<ServiceName, Arc<RetryBudget>>>,
@@ -323,7 +324,7 @@
             was_ready: AtomicBool::new(false),
             is_anti_entropy_running: AtomicBool::new(false),
             link_monitor: Mutex::new(LinkMonitor::new(clock.now())),
-            gate_closes_at: Mutex::default(),
+            stop_schedule: OnceLock::new(),
             loss_count: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
             first_seen: Mutex::default(),
