departures: acknowledge them only when they outlive the process

Cause: a departure was acknowledged while only the memory of nodes held it. The entry of the node in the directory, which the store keeps, was written without departures and before it was read.

Evidence: in the logs of the case no node restores or returns a departure, and the target's own node places it again on the late announcement, before the first call. Ruled out: a departure restored too late, a stale view of another node.

Now the entry has the departures. A node that starts restores the departures in its entry before it writes it and before it accepts an announcement. So what was acknowledged is known after any number of restarts.

Ways that were weighed: docs/decisions/0018.

--- a/src/gate/announce.rs
+++ b/src/gate/announce.rs
@@ -12,8 +12,8 @@
 //!
 //! A node stores nothing on disk, so a late announcement may arrive after the
 //! node was restarted and has lost this state. Departures are therefore
-//! published in the node's member record, and its peers return them when the
-//! node joins again.
+//! published in the node's member record and recorded in its entry of the
+//! directory. A node that starts gets them back from its entry or from its peers.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/src/member/directory.rs
+++ b/src/member/directory.rs
@@ -7,6 +7,10 @@
 //! entries are read at start and periodically after that. The directory is
 //! never used to decide which nodes are alive; probing does that.
 //!
+//! An entry also names the targets that left its node, since these must be known even if
+//! all nodes are restarted. So it is written again when a target leaves; see
+//! [docs/decisions/0018](../../docs/decisions/0018-departures-outlive-nodes.md).
+//!
 //! A store that is restored from a copy may have lost entries. So an entry is also
 //! written again when its node learns that the store was restored since; see
 //! [docs/decisions/0016](../../docs/decisions/0016-eras-of-the-store.md).
--- a/src/member/role.rs
+++ b/src/member/role.rs
@@ -83,6 +83,33 @@
     choose_members(&role, members, KEEPERS_PER_DEPARTURE)
 }
 
+/// Returns up to `count` members that hold a departure on behalf of `member`, as many as
+/// possible in other data centres, which are seldom lost together with it.
+pub fn departure_witnesses(
+    table: &MemberTable,
+    member: NodeAddress,
+    count: usize,
+) -> Vec<NodeAddress> {
+    let Some(entry) = table.get(member) else {
+        return Vec::new();
+    };
+    let own_data_centre = &entry.record.data_centre;
+    let (near, far): (Vec<_>, Vec<_>) = table
+        .iter()
+        .map(|entry| &entry.record)
+        .filter(|record| record.state == MemberState::Alive && record.address != member)
+        .partition(|record| record.data_centre == *own_data_centre);
+    let role = format!("departures-of-{member}");
+    let addresses = |records: Vec<&MemberRecord>| {
+        let addresses: Vec<_> = records.iter().map(|record| record.address).collect();
+        choose_members(&role, addresses, count)
+    };
+    let mut witnesses = addresses(far);
+    witnesses.extend(addresses(near));
+    witnesses.truncate(count);
+    witnesses
+}
+
 /// Returns the one member of the whole mesh that writes snapshots.
 pub fn snapshot_writer(table: &MemberTable) -> Option<NodeAddress> {
     let members = table
--- a/wisteriaturnd/src/control/start.rs
+++ b/wisteriaturnd/src/control/start.rs
@@ -19,7 +19,6 @@
 use crate::control::documents;
 use crate::control::follow;
 use crate::gate::targets;
-use crate::mesh::directory;
 use crate::mesh::peer_client;
 use crate::mesh::rumors;
 use crate::metrics::TrafficKind;
@@ -40,6 +39,9 @@
 /// doubles it.
 const ROUND_BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(3));
 
+/// Maximum wait for the directory in each round before the seeds are asked.
+const DIRECTORY_WAIT: Duration = Duration::from_millis(250);
+
 /// The combined answers of the peers in one round.
 #[derive(Debug, Default)]
 struct JoinReport {
@@ -60,9 +62,13 @@
     let mut backoff = ROUND_BACKOFF.0;
     let mut min_version = ConfigVersion(0);
     for round in 0.. {
-        discover_from_directory(&node).await;
+        wait_for_directory(&node).await;
         let report = ask_peers(&node).await;
         raise_incarnation(&node, report.seen_incarnation);
+        if report.ready_peers >= MIN_READY_PEERS {
+            // These have returned the departures that this node announced to them before.
+            node.departures.is_restored.send_replace(true);
+        }
         min_version = min_version.max(report.min_version);
         if let Some(peer) = report.newest_peer
             && report.newest_version > lock(&node.store).version()
@@ -100,17 +106,15 @@
     rumors::spread_own_record(&node, record).await;
 }
 
-/// Reads the directory if this node does not know any other member.
-async fn discover_from_directory(node: &NodeHandle) {
-    let Some(port) = &node.directory else {
+/// Waits for the first answer of the directory if this node does not know any other
+/// member.
+async fn wait_for_directory(node: &NodeHandle) {
+    if node.directory.is_none() || lock(&node.table).len() > 1 {
         return;
-    };
-    if lock(&node.table).len() > 1 {
-        return;
-    }
-    if let Err(error) = directory::discover_members(node, port).await {
-        log::warn!(event = "directory-read-failed", error:% = error; "member");
     }
+    let mut is_restored = node.departures.is_restored.subscribe();
+    let waiting = is_restored.wait_for(|is_restored| *is_restored);
+    let _ = tokio::time::timeout(DIRECTORY_WAIT, waiting).await;
 }
 
 /// Asks seeds until one of them is ready, then members until enough of the
--- a/wisteriaturnd/src/gate/targets.rs
+++ b/wisteriaturnd/src/gate/targets.rs
@@ -18,7 +18,7 @@
 use wisteriaturn::ids::{Incarnation, InstanceId, Sequence, ServiceName, SlotCount};
 use wisteriaturn::member::record::{MAX_TARGETS, TargetDeparture, TargetRecord, TargetState};
 
-use crate::mesh::rumors;
+use crate::mesh::{departures, rumors};
 use crate::node::{NodeHandle, NodeStage, NodeState};
 
 /// An announcement that a target sends to its node.
@@ -80,6 +80,10 @@
     Full,
     /// A later announcement was accepted before, or the target has left.
     Stale,
+    /// This node has just started and does not know yet which targets left before.
+    NotReady,
+    /// The departure takes effect but could not be recorded outside of this node.
+    Unrecorded,
 }
 
 impl std::fmt::Display for RegistrationError {
@@ -96,6 +100,18 @@
                 )
             }
             RegistrationError::Stale => write!(f, "outdated announcement, or the target has left"),
+            RegistrationError::NotReady => {
+                write!(
+                    f,
+                    "the targets that left before this node started are not known yet"
+                )
+            }
+            RegistrationError::Unrecorded => {
+                write!(
+                    f,
+                    "the departure could not be recorded outside of this node"
+                )
+            }
             RegistrationError::Full => {
                 write!(f, "a node can have at most {MAX_TARGETS} targets")
             }
@@ -201,6 +217,9 @@
     node: &NodeHandle,
     announcement: &TargetAnnouncement,
 ) -> Result<(), RegistrationError> {
+    if !departures::wait_until_restored(node).await {
+        return Err(RegistrationError::NotReady);
+    }
     let now = node.clock.now();
     check_announcement(node, announcement)?;
     if let Some(summary) = announcement.summary()
@@ -215,7 +234,10 @@
     target.gate.set_slots(announcement.slots.0);
     set_draining(&target, announcement.draining);
     publish(node).await;
-    Ok(())
+    match &announcement.instance {
+        Some(instance) if announcement.draining => record_departure(node, instance).await,
+        Some(_) | None => Ok(()),
+    }
 }
 
 fn check_announcement(
@@ -318,15 +340,43 @@
     true
 }
 
+/// Records a departure that has taken effect outside of this process.
+async fn record_departure(
+    node: &NodeHandle,
+    instance: &InstanceId,
+) -> Result<(), RegistrationError> {
+    if departures::record(node, instance).await {
+        Ok(())
+    } else {
+        Err(RegistrationError::Unrecorded)
+    }
+}
+
 /// Deregisters a target that announces its departure. Returns `true` if it was
 /// registered.
 ///
 /// `incarnation` is the departing incarnation, if the target names it. A later
 /// incarnation of a target that was restarted since then stays registered.
+///
+/// # Errors
+///
+/// Returns [`RegistrationError::Unrecorded`] if the departure has taken effect but must
+/// not be acknowledged, since a restart of this node could undo it.
 pub async fn deregister(
     node: &NodeHandle,
     instance: &InstanceId,
     incarnation: Option<Incarnation>,
+) -> Result<bool, RegistrationError> {
+    let was_registered = remove(node, instance, incarnation).await;
+    record_departure(node, instance).await?;
+    Ok(was_registered)
+}
+
+/// Removes a target that has left and publishes that. Returns `true` if it was registered.
+async fn remove(
+    node: &NodeHandle,
+    instance: &InstanceId,
+    incarnation: Option<Incarnation>,
 ) -> bool {
     let now = Incarnation(node.clock.unix_millis());
     if !lock(&node.announcements).record_departure(instance, incarnation, now) {
@@ -390,6 +440,7 @@
             own.departures = departures;
         })
     };
+    node.departures.changed.notify_one();
     for target in &record.targets {
         log::info!(
             event = "target-placed",
--- a/wisteriaturnd/src/mesh/directory.rs
+++ b/wisteriaturnd/src/mesh/directory.rs
@@ -1,21 +1,25 @@
 //! Discovery of other nodes through a directory.
 //!
-//! A node publishes its entry when it starts and then reads the entries of the
-//! others. After that, members learn about each other by gossip. The directory
-//! is still read periodically, so that two parts of the mesh that started
-//! without knowing each other are joined.
+//! A node that starts reads its own entry, which names the targets that left before, then
+//! writes it and reads the entries of the others. After that, members learn about each
+//! other by gossip. The directory is still read periodically, so that two parts of the
+//! mesh that started without knowing each other are joined. The entry is written again
+//! when a target leaves, and when the store was restored.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::RngExt;
 use wisteriaturn::clock::lock;
 use wisteriaturn::error::LogError;
-use wisteriaturn::ids::{NodeAddress, Sequence, SourceEra};
+use wisteriaturn::ids::{Incarnation, InstanceId, NodeAddress, Sequence, SourceEra};
 use wisteriaturn::member::directory::DirectoryPort;
 use wisteriaturn::member::record::MemberRecord;
 use wisteriaturn::member::role::snapshot_writer;
 
+use crate::gate::targets;
 use crate::jitter::jittered;
+use crate::mesh::departures::{StoredEntry, departure_keys};
 use crate::mesh::peer_client::merge_records;
 use crate::node::NodeHandle;
 
@@ -42,19 +46,21 @@
 /// takes much less, so it does not remove the entry.
 const ENTRY_RETENTION: Duration = Duration::from_secs(60);
 
-/// Registers this node in the directory, then periodically discovers other
-/// nodes and removes stale entries, for as long as the node runs. Registers again when
-/// the store was restored.
+/// Restores what this node recorded in the directory before, writes its entry and reads
+/// those of others. Then periodically discovers other nodes and removes stale entries, for
+/// as long as the node runs.
 pub async fn directory_task(node: NodeHandle, port: DirectoryPort) {
-    let mut entry_era = register(&node, &port).await;
+    read_until_answered(&node, &port).await;
+    tokio::spawn(entry_task(node.clone(), port.clone()));
+    // If two nodes start at the same time, the one that writes last sees the other. If
+    // they read before they wrote, each could miss the other until the next read.
+    let mut entry_era = wait_for_entry_after(&node, None).await;
+    read_until_answered(&node, &port).await;
     let mut interval = FIRST_REFRESH_INTERVAL;
     loop {
         tokio::select! {
-            () = wait_for_later_era(&node, entry_era) => {
-                // All nodes learn of the restore within moments.
-                let share = rand::rng().random_range(0.0..1.0);
-                tokio::time::sleep(RENEWAL_TIME.mul_f64(share)).await;
-                entry_era = publish(&node, &port).await;
+            era = wait_for_entry_after(&node, Some(entry_era)) => {
+                entry_era = era;
                 log::info!(event = "directory-entry-renewed", era:% = entry_era; "member");
                 // Nodes that were started meanwhile may have found nobody. It is enough
                 // that one member finds them.
@@ -73,30 +79,48 @@
     }
 }
 
-/// Publishes the entry of this node and then reads the others. If two nodes
-/// start at the same time, the one that publishes last sees the other. If they
-/// read before they published, each could miss the other until the next read.
-/// Returns the era in which the entry was written.
-async fn register(node: &NodeHandle, port: &DirectoryPort) -> SourceEra {
+/// Reads the directory, however often that takes.
+async fn read_until_answered(node: &NodeHandle, port: &DirectoryPort) {
     let mut backoff = REGISTER_BACKOFF.0;
-    loop {
-        let era = publish(node, port).await;
-        match discover_members(node, port).await {
-            Ok(_) => return era,
-            Err(error) => log::warn!(event = "directory-read-failed", error:% = error; "member"),
-        }
+    while let Err(error) = discover_members(node, port).await {
+        log::warn!(event = "directory-read-failed", error:% = error; "member");
         tokio::time::sleep(jittered(backoff)).await;
         backoff = (backoff * 2).min(REGISTER_BACKOFF.1);
     }
 }
 
-/// Publishes the entry of this node, however often that takes. Returns the era in which
-/// it was written.
-async fn publish(node: &NodeHandle, port: &DirectoryPort) -> SourceEra {
+/// Writes the entry of this node, and writes it again when its departures change or the
+/// store was restored. Never returns.
+///
+/// Only this task writes the entry, so that an older one never replaces a newer one.
+async fn entry_task(node: NodeHandle, port: DirectoryPort) {
+    loop {
+        let stored = publish(&node, &port).await;
+        let era = stored.era;
+        let departures = stored.departures.clone();
+        node.departures.stored.send_replace(Some(stored));
+        tokio::select! {
+            () = wait_for_departures_after(&node, &departures) => {}
+            () = wait_for_later_era(&node, era) => {
+                // All nodes learn of the restore within moments.
+                let share = rand::rng().random_range(0.0..1.0);
+                tokio::select! {
+                    () = wait_for_departures_after(&node, &departures) => {}
+                    () = tokio::time::sleep(RENEWAL_TIME.mul_f64(share)) => {}
+                }
+            }
+        }
+    }
+}
+
+/// Writes the entry of this node, however often that takes. Returns what was written.
+async fn publish(node: &NodeHandle, port: &DirectoryPort) -> StoredEntry {
     let mut backoff = REGISTER_BACKOFF.0;
     loop {
-        match port.publish(directory_entry(node)).await {
-            Ok(era) => return era,
+        let entry = directory_entry(node);
+        let departures = departure_keys(&entry.departures);
+        match port.publish(entry).await {
+            Ok(era) => return StoredEntry { era, departures },
             Err(error) => log::warn!(event = "directory-entry-failed", error:% = error; "member"),
         }
         tokio::time::sleep(jittered(backoff)).await;
@@ -104,18 +128,45 @@
     }
 }
 
-/// Returns the record of this node as it was when the node started. Whoever reads it
-/// learns an address; any record that members spread has a higher rank.
+/// Returns the record of this node as it was when the node started, with the departures
+/// of its targets. Whoever reads it learns an address; any record that members spread has
+/// a higher rank.
 fn directory_entry(node: &NodeHandle) -> MemberRecord {
     MemberRecord {
         sequence: Sequence(0),
         is_ready: false,
         targets: Vec::new(),
-        departures: Vec::new(),
         ..lock(&node.table).own().clone()
     }
 }
 
+/// Waits until the departures of this node's targets differ from those in its entry.
+async fn wait_for_departures_after(
+    node: &NodeHandle,
+    stored: &BTreeSet<(InstanceId, Incarnation)>,
+) {
+    loop {
+        let changed = node.departures.changed.notified();
+        if departure_keys(&lock(&node.table).own().departures) != *stored {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Waits until the entry of this node was written in a later era than `era`, and returns
+/// the era in which it was.
+async fn wait_for_entry_after(node: &NodeHandle, era: Option<SourceEra>) -> SourceEra {
+    let mut stored = node.departures.stored.subscribe();
+    let is_later = |stored: &Option<StoredEntry>| stored.as_ref().map(|stored| stored.era) > era;
+    // The node owns the sender, so the wait cannot fail.
+    let stored = stored.wait_for(is_later).await;
+    stored
+        .ok()
+        .and_then(|stored| stored.as_ref().map(|stored| stored.era))
+        .unwrap_or_default()
+}
+
 /// Waits until this node learns that the store was restored after `era`.
 async fn wait_for_later_era(node: &NodeHandle, era: SourceEra) {
     let mut known = node.source.era.subscribe();
@@ -140,7 +191,7 @@
 }
 
 /// Reads the directory and merges its entries into the member table, so that
-/// they are probed. Returns the entries.
+/// they are probed. Restores the departures in this node's own entry. Returns the entries.
 ///
 /// # Errors
 ///
@@ -151,6 +202,13 @@
 ) -> Result<Vec<MemberRecord>, LogError> {
     let records = port.list().await?;
     log::info!(event = "directory-read", entries = records.len(); "member");
+    let own = records
+        .iter()
+        .find(|record| record.address == node.address());
+    if let Some(own) = own {
+        targets::restore_departures(node, &own.departures).await;
+    }
+    node.departures.is_restored.send_replace(true);
     merge_records(node, records.clone());
     Ok(records)
 }
--- a/wisteriaturnd/src/mesh/mod.rs
+++ b/wisteriaturnd/src/mesh/mod.rs
@@ -3,6 +3,7 @@
 //! Probes and rumors are sent as datagrams, which are cheap but may be lost.
 //! What must arrive is sent over connections. See [docs/DESIGN.md](../../../docs/DESIGN.md#3-spreading).
 
+pub mod departures;
 pub mod directory;
 pub mod gossip;
 pub mod handshake;
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -47,6 +47,7 @@
 use crate::gate::targets::LocalTargets;
 use crate::http::headers::EdgeHeaders;
 use crate::http::pool::ConnectionPool;
+use crate::mesh::departures::DepartureRecords;
 use crate::metrics::{NodeMetrics, TrafficKind, TrafficReach};
 use crate::settings::NodeSettings;
 
@@ -119,6 +120,8 @@
     pub directory: Option<DirectoryPort>,
     /// Names of the headers that are exchanged with callers and targets.
     pub edge_headers: EdgeHeaders,
+    /// The departures that are recorded outside of this process.
+    pub departures: DepartureRecords,
     /// The latest announcement and departure of each target on this VM.
     pub announcements: Mutex<AnnouncementTracker>,
     /// Size and duration of the answers of each route, as seen by the ingress.
@@ -309,6 +312,7 @@
             documents: self.documents,
             directory: self.directory,
             edge_headers: self.edge_headers,
+            departures: DepartureRecords::new(),
             announcements: Mutex::new(AnnouncementTracker::new()),
             answer_estimates: AnswerEstimator::new(),
             run_estimates: AnswerEstimator::new(),
