announce: record a departure for the incarnation that it names

A target that restarts under its name and leaves at once could be used again: if its departure arrives before its announcements, those were accepted after it and the target got calls until it exited.

Cause: a departure of an incarnation later than the known one marked the known one as left.

target_announcements::a_departure_of_a_later_incarnation_... failed before (the late announcement of incarnation 11 was accepted) and passes.

--- a/src/gate/announce.rs
+++ b/src/gate/announce.rs
@@ -192,8 +192,8 @@
         is_new
     }
 
-    /// Marks the latest known incarnation of an instance as left, unless
-    /// `incarnation` names an earlier one. Returns `true` if the instance was
+    /// Marks `incarnation` or, if that is not given, the latest known incarnation of an
+    /// instance as left, unless a later one is known. Returns `true` if the instance was
     /// known and has been marked.
     ///
     /// On a node that has just started, the departure of a target can arrive
@@ -219,9 +219,14 @@
             self.instances.insert(instance.clone(), state);
             return false;
         };
-        if incarnation.is_some_and(|incarnation| incarnation < state.incarnation) {
+        let incarnation = incarnation.unwrap_or(state.incarnation);
+        if incarnation < state.incarnation {
             return false;
         }
+        if incarnation > state.incarnation {
+            state.incarnation = incarnation;
+            state.sequence = Sequence(u64::MAX);
+        }
         state.has_left = true;
         true
     }
--- a/tests/integration/target_announcements.rs
+++ b/tests/integration/target_announcements.rs
@@ -172,6 +172,24 @@
     );
 }
 
+/// Guards against a departure that overtakes all announcements of a restarted target and
+/// is recorded for the incarnation before it.
+#[test]
+fn a_departure_of_a_later_incarnation_rejects_its_late_announcements() {
+    let mut tracker = AnnouncementTracker::new();
+    let (a, now) = (instance("a"), Incarnation(100));
+    assert!(tracker.accept(announcement("a", 10, 5, 80)));
+    assert!(tracker.record_departure(&a, Some(Incarnation(11)), now));
+    assert!(tracker.is_departing(&a, Incarnation(10)));
+    for incarnation in [10, 11] {
+        assert!(!tracker.accept(announcement("a", incarnation, 6, 80)));
+    }
+    let mut restarted = AnnouncementTracker::new();
+    assert!(restarted.restore(&tracker.departures()));
+    assert!(!restarted.accept(announcement("a", 11, 6, 80)));
+    assert!(tracker.accept(announcement("a", 12, 0, 80)), "the next one");
+}
+
 #[test]
 fn the_tracker_stays_bounded_when_many_instances_announce() {
     let mut tracker = AnnouncementTracker::new();
