ledger: expire results and revocations apart

A busy gate refused every unsafe call as saturated for minutes after one connection between two nodes was lost: with one revocation and 150 calls a second from call 65,535 on, in second 436. And it told `not-run` of a call that had run when it was asked after 30 s, so that the call could run twice.

Cause: results (30 s) and revocations (600 s) shared a queue that was emptied from the front, and a call that was not in the ledger was taken for one that had never come.

Results, ids of calls that ran and ids of revoked calls now have a queue and a bound each. At a bound the gate gives up knowledge, counted and logged, and answers `unknown` where it cannot prove `not-run`. Time counts in steps of at most 1 s, so that a paused process lets no revocation expire. Nodes ask about a call for 300 s, half of the time for which its id is kept.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -2,11 +2,13 @@
 //! fold changes, build views, choose targets and merge member tables, and how large messages,
 //! snapshots and claim tables are.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Instant;
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use serde_json::json;
+use wisteriaturn::clock::ManualClock;
 use wisteriaturn::config::change::{Change, Operation, Precondition};
 use wisteriaturn::config::fold::ConfigState;
 use wisteriaturn::config::resource::{PolicySpec, Resource};
@@ -15,6 +17,7 @@
 use wisteriaturn::gate::claim::{
     ClaimBatch, ClaimHolder, ClaimItem, ClaimTable, MAX_KEYS_PER_STREAM,
 };
+use wisteriaturn::gate::ledger::{CallLedger, CallResult};
 use wisteriaturn::ids::{
     BootId, CallId, ChangeId, Incarnation, KeyHash, LinkRate, NodeAddress, Sequence, ServiceName,
     SlotCount,
@@ -118,6 +121,21 @@
     claims
 }
 
+/// Returns a ledger that holds calls which have ended.
+fn ledger_with(calls: Range<u128>) -> CallLedger {
+    let ledger = CallLedger::new(ManualClock::new());
+    run_calls(&ledger, calls);
+    ledger
+}
+
+fn run_calls(ledger: &CallLedger, calls: Range<u128>) {
+    for call in calls {
+        let mut guard = ledger.register(CallId(call)).expect("a new call");
+        guard.start().expect("a call that nobody revoked");
+        guard.finish(CallResult::Lost);
+    }
+}
+
 /// Returns the resident set size of this process in kB.
 fn resident_kb() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
@@ -197,6 +215,18 @@
     criterion.bench_function("choose the relays of a data centre", |bench| {
         bench.iter(|| relays(&table, &members[0].data_centre));
     });
+    for count in [1, 1_000, 65_536] {
+        criterion.bench_function(&format!("run 100 calls beside {count}"), |bench| {
+            bench.iter_batched(
+                || ledger_with(0..count),
+                |ledger| {
+                    run_calls(&ledger, count..count + 100);
+                    ledger
+                },
+                criterion::BatchSize::PerIteration,
+            );
+        });
+    }
     criterion.bench_function("decode a snapshot", |bench| {
         bench.iter(|| decode_snapshot(&snapshot).expect("a state"));
     });
--- a/src/gate/ledger.rs
+++ b/src/gate/ledger.rs
@@ -5,6 +5,12 @@
 //! the gate will never start it, so the node can safely report `not-run`. If
 //! the call is running or has finished, the node receives its result. A broken
 //! connection between two nodes therefore loses no call.
+//!
+//! The trade-off: answers are kept briefly, since they are large. That a call ran, or that
+//! it was revoked, is a few bytes and is kept for longer. Each kind expires in its own
+//! order and has its own bound, so that none holds back another. Where a bound is reached,
+//! the gate gives up knowledge and not calls: it answers `unknown` where it can no longer
+//! prove `not-run`.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
@@ -21,12 +27,58 @@
 /// Time for which an answer is stored for a node whose connection broke.
 pub const ANSWER_RETENTION: Duration = Duration::from_secs(30);
 
-/// Time for which a revoked call stays revoked. Its request may still be in a
-/// socket buffer, but not for this long.
-pub const REVOCATION_RETENTION: Duration = Duration::from_secs(600);
+/// Time for which the gate remembers that a call ran or was revoked.
+///
+/// The request of a revoked call may still be on its way: the system gives up on
+/// unacknowledged bytes after 1.5 s, and what it has received waits in a socket buffer
+/// until this process reads it. Time in which this process was paused does not count. Nodes
+/// inquire about a call that ran only while [`can_tell_outcome`] holds.
+pub const ID_RETENTION: Duration = Duration::from_secs(600);
+
+/// Returns `true` if the ledger of a gate can still tell the outcome of a call that was
+/// sent to it `age` ago. Later, a call that ran may look like one that never arrived.
+pub fn can_tell_outcome(age: Duration) -> bool {
+    age < ID_RETENTION / 2
+}
+
+/// Maximum time that counts between two uses of the ledger. While the process is paused
+/// no request is read, so a revocation must not expire.
+const MAX_TIME_STEP: Duration = Duration::from_secs(1);
+
+/// Bounds on what a ledger holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LedgerLimits {
+    /// Maximum number of calls that wait or run.
+    pub open: usize,
+    /// Maximum number of results.
+    pub results: usize,
+    /// Maximum number of ids of calls that ran.
+    pub ended: usize,
+    /// Maximum number of ids of revoked calls.
+    pub revoked: usize,
+}
+
+impl Default for LedgerLimits {
+    fn default() -> Self {
+        Self {
+            open: 65_536,
+            results: 32_768,
+            ended: 65_536,
+            revoked: 16_384,
+        }
+    }
+}
 
-/// Maximum number of calls in the ledger.
-pub const MAX_LEDGER_CALLS: usize = 65_536;
+/// What a ledger has given up because a bound was reached.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LedgerLosses {
+    /// Results that were dropped before their time.
+    pub results: u64,
+    /// Ids of calls that ran which were dropped before their time.
+    pub ended: u64,
+    /// Revocations that were answered `unknown`.
+    pub revocations: u64,
+}
 
 /// Maximum size of a stored answer body, in bytes.
 pub const MAX_STORED_BODY_BYTES: usize = 256 * 1024;
@@ -64,6 +116,8 @@
     Revoked,
     Running(watch::Receiver<Option<Arc<CallResult>>>),
     Finished(Arc<CallResult>),
+    /// The call ran, and its result is no longer stored.
+    Ended,
 }
 
 /// The status of a call, as reported to a node that inquires about it.
@@ -79,11 +133,25 @@
     Unknown,
 }
 
-#[derive(Debug, Default)]
+/// Ids in the order in which they expire, with the time at which they do.
+type ExpiryQueue = VecDeque<(Duration, CallId)>;
+
+#[derive(Debug)]
 struct LedgerState {
+    limits: LedgerLimits,
     calls: HashMap<CallId, CallState>,
-    expiry: VecDeque<(Instant, CallId)>,
+    /// Number of calls that wait or run.
+    open: usize,
+    results: ExpiryQueue,
+    ended: ExpiryQueue,
+    revoked: ExpiryQueue,
     stored_bytes: usize,
+    /// Time that has passed for the ledger, in steps of at most [`MAX_TIME_STEP`].
+    time: Duration,
+    last_used: Instant,
+    /// Until then, a call that is not in the ledger may have run.
+    may_have_run_until: Duration,
+    losses: LedgerLosses,
 }
 
 /// The ledger of one gate's calls. Clones are cheap and share the ledger.
@@ -105,10 +173,27 @@
 }
 
 impl CallLedger {
-    /// Returns an empty ledger.
+    /// Returns an empty ledger with the default limits.
     pub fn new(clock: SharedClock) -> Self {
+        Self::with_limits(clock, LedgerLimits::default())
+    }
+
+    /// Returns an empty ledger.
+    pub fn with_limits(clock: SharedClock, limits: LedgerLimits) -> Self {
         Self {
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(LedgerState {
+                limits,
+                calls: HashMap::new(),
+                open: 0,
+                results: VecDeque::new(),
+                ended: VecDeque::new(),
+                revoked: VecDeque::new(),
+                stored_bytes: 0,
+                time: Duration::ZERO,
+                last_used: clock.now(),
+                may_have_run_until: Duration::ZERO,
+                losses: LedgerLosses::default(),
+            })),
             clock,
         }
     }
@@ -118,18 +203,19 @@
     /// # Errors
     ///
     /// Returns [`RefusalReason::Revoked`] if the call was revoked or registered
-    /// before and [`RefusalReason::Saturated`] if the ledger is full.
+    /// before and [`RefusalReason::Saturated`] if too many calls wait or run.
     pub fn register(&self, call: CallId) -> Result<CallGuard, RefusalReason> {
         let mut state = lock(&self.state);
         state.expire(self.clock.now());
         if state.calls.contains_key(&call) {
             return Err(RefusalReason::Revoked);
         }
-        if state.calls.len() >= MAX_LEDGER_CALLS {
+        if state.open >= state.limits.open {
             return Err(RefusalReason::Saturated);
         }
         let (sender, receiver) = watch::channel(None);
         state.calls.insert(call, CallState::Waiting(receiver));
+        state.open += 1;
         Ok(CallGuard {
             ledger: self.clone(),
             call,
@@ -141,21 +227,25 @@
 
     /// Returns the status of a call and revokes the call if it has not started.
     pub fn revoke(&self, call: CallId) -> CallStatus {
-        let now = self.clock.now();
         let mut state = lock(&self.state);
-        state.expire(now);
-        let is_full = state.calls.len() >= MAX_LEDGER_CALLS;
-        match state.calls.get(&call) {
+        state.expire(self.clock.now());
+        let reason = match state.calls.get(&call) {
             Some(CallState::Running(receiver)) => return CallStatus::Running(receiver.clone()),
-            Some(CallState::Finished(result)) => return status_of(result),
+            Some(CallState::Ended) => return CallStatus::Unknown,
             Some(CallState::Revoked) => return CallStatus::NotRun(RefusalReason::Revoked),
-            Some(CallState::Waiting(_)) => {}
-            None if is_full => return CallStatus::Unknown,
-            None => {}
-        }
-        state.calls.insert(call, CallState::Revoked);
-        state.expiry.push_back((now + REVOCATION_RETENTION, call));
-        CallStatus::NotRun(RefusalReason::Revoked)
+            Some(CallState::Finished(result)) => match result.as_ref() {
+                CallResult::Refused(reason) => *reason,
+                _ => return status_of(result),
+            },
+            Some(CallState::Waiting(_)) => RefusalReason::Revoked,
+            None if !state.may_revoke_unknown() => {
+                state.losses.revocations += 1;
+                return CallStatus::Unknown;
+            }
+            None => RefusalReason::Revoked,
+        };
+        state.insert_revoked(call);
+        CallStatus::NotRun(reason)
     }
 
     /// Returns the status of a call without revoking it. The status of a call
@@ -167,9 +257,14 @@
             }
             Some(CallState::Finished(result)) => status_of(result),
             Some(CallState::Revoked) => CallStatus::NotRun(RefusalReason::Revoked),
-            None => CallStatus::Unknown,
+            Some(CallState::Ended) | None => CallStatus::Unknown,
         }
     }
+
+    /// Returns what the ledger has given up since the last call of this method.
+    pub fn take_losses(&self) -> LedgerLosses {
+        std::mem::take(&mut lock(&self.state).losses)
+    }
 }
 
 fn status_of(result: &Arc<CallResult>) -> CallStatus {
@@ -182,26 +277,82 @@
 }
 
 impl LedgerState {
-    /// Removes expired calls from the front of the expiry queue and, while the
-    /// ledger is at least half full, also results that have not expired yet.
-    /// Stops at a revocation that has not expired.
+    /// Removes what has expired or exceeds its limit.
     fn expire(&mut self, now: Instant) {
-        while let Some((expires, call)) = self.expiry.front().copied() {
-            // Revocations are retained for longer than answers, so the queue is
-            // not strictly ordered by expiry. An answer behind a revocation is
-            // retained until the revocation expires.
-            if expires > now && self.calls.len() < MAX_LEDGER_CALLS / 2 {
-                return;
-            }
-            if expires > now && matches!(self.calls.get(&call), Some(CallState::Revoked)) {
-                return;
+        let step = now.saturating_duration_since(self.last_used);
+        self.time += step.min(MAX_TIME_STEP);
+        self.last_used = now;
+        let (time, limits) = (self.time, self.limits);
+        while let Some(id) = pop_expired(&mut self.results, time, limits.results) {
+            self.losses.results += u64::from(!id.has_expired);
+            self.forget_result(id.call);
+        }
+        while let Some(id) = pop_expired(&mut self.ended, time, limits.ended) {
+            if !id.has_expired {
+                self.losses.ended += 1;
+                self.may_have_run_until = self.may_have_run_until.max(id.expires_at);
             }
-            self.expiry.pop_front();
-            if let Some(CallState::Finished(result)) = self.calls.remove(&call) {
-                self.stored_bytes -= stored_bytes(&result);
+            self.calls.remove(&id.call);
+        }
+        // No id of a revoked call may be removed early: its request may still arrive.
+        while let Some(id) = pop_expired(&mut self.revoked, time, usize::MAX) {
+            if let Some(CallState::Revoked) = self.calls.get(&id.call) {
+                self.calls.remove(&id.call);
             }
         }
     }
+
+    /// Drops the result of a call. If the call ran, its id is kept.
+    fn forget_result(&mut self, call: CallId) {
+        let Some(CallState::Finished(result)) = self.calls.get(&call) else {
+            return;
+        };
+        self.stored_bytes -= stored_bytes(result);
+        if matches!(result.as_ref(), CallResult::Refused(_)) {
+            self.calls.remove(&call);
+            return;
+        }
+        self.calls.insert(call, CallState::Ended);
+        self.ended.push_back((self.time + ID_RETENTION, call));
+    }
+
+    /// Returns `true` if a call that is not in the ledger has provably not started and its
+    /// id can be kept so that it never does.
+    fn may_revoke_unknown(&self) -> bool {
+        self.time >= self.may_have_run_until && self.revoked.len() < self.limits.revoked
+    }
+
+    fn insert_revoked(&mut self, call: CallId) {
+        let previous = self.calls.insert(call, CallState::Revoked);
+        self.open -= usize::from(is_open(previous.as_ref()));
+        self.revoked.push_back((self.time + ID_RETENTION, call));
+    }
+}
+
+fn is_open(state: Option<&CallState>) -> bool {
+    matches!(state, Some(CallState::Waiting(_) | CallState::Running(_)))
+}
+
+/// An id that was removed from an [`ExpiryQueue`].
+struct RemovedId {
+    call: CallId,
+    expires_at: Duration,
+    has_expired: bool,
+}
+
+/// Removes the first id of a queue if it has expired or the queue is longer than `limit`.
+fn pop_expired(queue: &mut ExpiryQueue, time: Duration, limit: usize) -> Option<RemovedId> {
+    let (expires_at, call) = *queue.front()?;
+    let has_expired = expires_at <= time;
+    if !has_expired && queue.len() <= limit {
+        return None;
+    }
+    queue.pop_front();
+    Some(RemovedId {
+        call,
+        expires_at,
+        has_expired,
+    })
 }
 
 fn stored_bytes(result: &CallResult) -> usize {
@@ -244,8 +395,8 @@
         self.is_finished = true;
         let is_refusal = matches!(result, CallResult::Refused(_));
         check(Invariant::NotRunStays, !(is_refusal && self.is_started));
-        let now = self.ledger.clock.now();
         let mut state = lock(&self.ledger.state);
+        state.expire(self.ledger.clock.now());
         if matches!(state.calls.get(&self.call), Some(CallState::Revoked)) {
             drop(state);
             let result = CallResult::Refused(RefusalReason::Revoked);
@@ -259,10 +410,11 @@
             result
         });
         state.stored_bytes += stored_bytes(&result);
-        state
-            .calls
-            .insert(self.call, CallState::Finished(Arc::clone(&result)));
-        state.expiry.push_back((now + ANSWER_RETENTION, self.call));
+        let finished = CallState::Finished(Arc::clone(&result));
+        let previous = state.calls.insert(self.call, finished);
+        state.open -= usize::from(is_open(previous.as_ref()));
+        let expires_at = state.time + ANSWER_RETENTION;
+        state.results.push_back((expires_at, self.call));
         drop(state);
         self.sender.send_replace(Some(result));
     }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -13,6 +13,7 @@
 mod experiment_rules;
 mod gate_rules;
 mod hostile_bytes;
+mod ledger_rules;
 mod limit_rules;
 mod load_rules;
 mod load_simulation;
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -14,7 +14,9 @@
 use hyper::{Request, Response};
 use tokio::time::timeout_at;
 use wisteriaturn::gate::claim::{ClaimHolder, ClaimOutcome};
-use wisteriaturn::gate::ledger::{CallGuard, CallResult, MAX_STORED_BODY_BYTES, StoredAnswer};
+use wisteriaturn::gate::ledger::{
+    CallGuard, CallResult, LedgerLosses, MAX_STORED_BODY_BYTES, StoredAnswer,
+};
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::slots::SlotPermit;
 use wisteriaturn::ids::KeyHash;
@@ -123,7 +125,9 @@
     call: GateCall,
     request: Request<NodeBody>,
 ) -> Response<NodeBody> {
-    let guard = match node.ledger.register(call.call) {
+    let registered = node.ledger.register(call.call);
+    report_losses(node);
+    let guard = match registered {
         Ok(guard) => guard,
         Err(reason) => return refusal(CallOutcome::NotRun, reason),
     };
@@ -146,6 +150,37 @@
     }
 }
 
+/// Counts and logs what the ledger has given up because one of its limits was reached.
+fn report_losses(node: &NodeHandle) {
+    let losses = node.ledger.take_losses();
+    if losses == LedgerLosses::default() {
+        return;
+    }
+    let causes = [
+        ("ledger-results", losses.results),
+        ("ledger-ended", losses.ended),
+        ("ledger-revocations", losses.revocations),
+    ];
+    for (cause, count) in causes {
+        node.metrics.record_drops(cause, count);
+    }
+    // Results are given up with each call while there are many; that alone changes nothing
+    // for callers.
+    let level = if losses.revocations > 0 {
+        log::Level::Warn
+    } else {
+        log::Level::Debug
+    };
+    log::log!(
+        level,
+        event = "ledger-full",
+        results = losses.results,
+        ended = losses.ended,
+        revocations = losses.revocations;
+        "gate"
+    );
+}
+
 /// Refuses a call that has not started and releases its claim.
 fn refuse(
     node: &NodeHandle,
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -352,6 +352,7 @@
     if target.node == node.address() {
         return run::run(node, call.clone(), request).await;
     }
+    let sent_at = node.clock.now();
     let sending = hop::send(node, target, call, request);
     let result = if call.is_idempotent {
         tokio::select! {
@@ -371,7 +372,7 @@
             if call.is_idempotent {
                 return refusal(CallOutcome::Unknown, reason);
             }
-            let answer = hop::resolve_lost_call(node, target, call, boot_id).await;
+            let answer = hop::resolve_lost_call(node, target, call, boot_id, sent_at).await;
             inquiry_response(&answer, reason)
         }
     }
--- a/wisteriaturnd/src/mesh/hop.rs
+++ b/wisteriaturnd/src/mesh/hop.rs
@@ -16,7 +16,7 @@
 use wisteriaturn::clock::lock;
 use wisteriaturn::config::resource::CallClass;
 use wisteriaturn::config::view::TargetEntry;
-use wisteriaturn::gate::ledger::MAX_STORED_BODY_BYTES;
+use wisteriaturn::gate::ledger::{MAX_STORED_BODY_BYTES, can_tell_outcome};
 use wisteriaturn::gate::notice::TargetNotice;
 use wisteriaturn::gate::outcome::RefusalReason;
 use wisteriaturn::ids::{
@@ -174,14 +174,18 @@
 
 /// Resolves the outcome of a call whose exchange was lost, by sending inquiries
 /// to its gate. `gate_boot_id` is the boot id that the gate had when the call was
-/// sent.
+/// sent at `sent_at`.
 pub async fn resolve_lost_call(
     node: &NodeHandle,
     target: &TargetEntry,
     call: &GateCall,
     gate_boot_id: BootId,
+    sent_at: Instant,
 ) -> InquiryAnswer {
     let now = node.clock.now();
+    if !can_tell_outcome(now.saturating_duration_since(sent_at)) {
+        return InquiryAnswer::Unknown;
+    }
     let wait = call.deadline.remaining(now).max(MIN_INQUIRY_TIMEOUT);
     let deadline = now + wait;
     // A paused gate keeps its connections open, so that a direct inquiry may
--- a/wisteriaturnd/src/metrics.rs
+++ b/wisteriaturnd/src/metrics.rs
@@ -202,7 +202,16 @@
 
     /// Counts a dropped message, connection or request.
     pub fn record_drop(&self, cause: &'static str) {
-        self.drops.get_or_create(&DropLabels { cause }).inc();
+        self.record_drops(cause, 1);
+    }
+
+    /// Counts several drops for the same cause, if there are any.
+    pub fn record_drops(&self, cause: &'static str, count: u64) {
+        if count > 0 {
+            self.drops
+                .get_or_create(&DropLabels { cause })
+                .inc_by(count);
+        }
     }
 
     /// Adds control bytes that were sent.
