headers: let the platform define the header of idempotency keys

They had sent the same Idempotency-Key, a header that means nothing there.

Cause: the name was a constant of the product, read at the ingress and at every gate, unlike the other headers of callers and targets.

--- a/wisteriaturnd/src/gate/port.rs
+++ b/wisteriaturnd/src/gate/port.rs
@@ -116,7 +116,10 @@
     let is_idempotent: bool = headers::parsed(map, &headers::IDEMPOTENT)?;
     let remaining = headers::parsed_millis(map, &headers::DEADLINE_MS)?;
     let soft_deadline = headers::parsed_millis(map, &headers::SOFT_DEADLINE_MS);
-    let key = map.get(headers::IDEMPOTENCY_KEY).filter(|_| !is_idempotent);
+    let key = node
+        .edge_headers
+        .find_idempotency_key(map)
+        .filter(|_| !is_idempotent);
     Some(GateCall {
         call: headers::parsed(map, &headers::CALL)?,
         class: headers::parsed(map, &headers::CLASS)?,
--- a/wisteriaturnd/src/http/headers.rs
+++ b/wisteriaturnd/src/http/headers.rs
@@ -90,11 +90,19 @@
     pub target_limit: HeaderName,
     /// Set to anything but `0` in each answer of a target that is leaving.
     pub target_leaving: HeaderName,
+    /// Key with which a caller can safely retry a call, or `None` if the platform's callers
+    /// and targets use none; a header of that name then belongs to them.
+    pub idempotency_key: Option<HeaderName>,
     /// Whether callers accept a `Retry-After` with fractions of a second.
     pub has_fractional_retry_after: bool,
 }
 
 impl EdgeHeaders {
+    /// Returns the idempotency key in the headers of a call.
+    pub fn find_idempotency_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue> {
+        headers.get(self.idempotency_key.as_ref()?)
+    }
+
     /// Returns the names used unless a platform defines its own.
     pub fn standard() -> Self {
         Self {
@@ -106,6 +114,7 @@
             response_stamp: None,
             target_limit: HeaderName::from_static("wisteriaturn-target-limit"),
             target_leaving: HeaderName::from_static("wisteriaturn-target-leaving"),
+            idempotency_key: Some(IDEMPOTENCY_KEY),
             has_fractional_retry_after: false,
         }
     }
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -322,7 +322,7 @@
     let notice = node.load.with_service(&service, |load| {
         load.get(&chosen.target).notice(now).cloned()
     });
-    let key = call.parts.headers.get(headers::IDEMPOTENCY_KEY);
+    let key = node.edge_headers.find_idempotency_key(&call.parts.headers);
     GateCall {
         call: CallId(rand::random()),
         class: call.route.spec.class,
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -323,7 +323,10 @@
         .idempotent
         .unwrap_or_else(|| parts.method.is_idempotent());
     to_origin_form(&mut parts);
-    let key = parts.headers.get(headers::IDEMPOTENCY_KEY).cloned();
+    let key = node
+        .edge_headers
+        .find_idempotency_key(&parts.headers)
+        .cloned();
     if key
         .as_ref()
         .is_some_and(|key| key.len() > headers::MAX_IDEMPOTENCY_KEY_BYTES)
