gate: pass an encoded answer only if the request accepts its encoding

Cause: any Accept-Encoding header at all let an encoded answer pass.

http/accept_encoding.rs reads what the header says: names, lists, several headers, weights, `*`.

--- a/tests/integration/edge_rules.rs
+++ b/tests/integration/edge_rules.rs
@@ -2,9 +2,11 @@
 //! connection, responses that may belong to another call, and durations in the
 //! settings.
 
-use hyper::header::HeaderValue;
-use hyper::{Method, Response};
+use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderValue};
+use hyper::{HeaderMap, Method, Response};
+use proptest::prelude::*;
 use wisteriaturnd::gate::answer_kind::AnswerKind;
+use wisteriaturnd::http::accept_encoding::AcceptedEncodings;
 use wisteriaturnd::http::headers::EdgeHeaders;
 use wisteriaturnd::ingress::pipeline::HeadScanner;
 use wisteriaturnd::settings::parse_duration;
@@ -84,10 +86,71 @@
     }
     let response = builder.body(()).expect("a valid response");
     let request_id = HeaderValue::from_static("a");
-    let kind = AnswerKind::classify(&edge_with_signatures(), Some(&request_id), false, &response);
+    let kind = AnswerKind::classify(
+        &edge_with_signatures(),
+        Some(&request_id),
+        &AcceptedEncodings::default(),
+        &response,
+    );
     assert_eq!(kind, expected);
 }
 
+fn headers_with(name: hyper::header::HeaderName, values: &[&str]) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    for value in values {
+        map.append(&name, HeaderValue::from_str(value).expect("a value"));
+    }
+    map
+}
+
+// Guards against an encoded body that passes as the target's because the request has any
+// `Accept-Encoding` header at all.
+#[yare::parameterized(
+    no_encoding = { &[], &[], true },
+    absent = { &[], &["gzip"], false },
+    empty = { &[""], &["gzip"], false },
+    identity = { &["identity"], &["gzip"], false },
+    asked_for = { &["gzip"], &["gzip"], true },
+    another = { &["br"], &["gzip"], false },
+    one_of_a_list = { &["br, gzip;q=0.5"], &["gzip"], true },
+    in_a_second_header = { &["br", "gzip"], &["gzip"], true },
+    excluded = { &["gzip;q=0"], &["gzip"], false },
+    excluded_with_decimals = { &["gzip; q=0.000, *"], &["gzip"], false },
+    any = { &["*"], &["zstd"], true },
+    any_excluded = { &["gzip, *;q=0"], &["zstd"], false },
+    any_but_one = { &["*, gzip;q=0"], &["gzip"], false },
+    upper_case = { &["GZIP"], &["Gzip"], true },
+    alias = { &["x-gzip"], &["gzip"], true },
+    all_of_several = { &["gzip, br"], &["gzip, br"], true },
+    not_all_of_several = { &["gzip"], &["gzip, br"], false },
+    not_all_of_several_headers = { &["gzip"], &["gzip", "br"], false },
+    answer_names_identity = { &["identity"], &["identity"], false },
+    answer_names_nothing = { &["*"], &[""], false },
+    weight_out_of_range = { &["gzip;q=2"], &["gzip"], false },
+    weight_without_number = { &["gzip;q=x"], &["gzip"], false },
+    other_parameter = { &["gzip;level=9"], &["gzip"], false },
+)]
+fn an_encoding_is_allowed_if_the_request_accepts_it(
+    accepted: &[&str],
+    named: &[&str],
+    is_allowed: bool,
+) {
+    let accepted = AcceptedEncodings::from_request(&headers_with(ACCEPT_ENCODING, accepted));
+    let answer = headers_with(CONTENT_ENCODING, named);
+    assert_eq!(accepted.allow(&answer), is_allowed);
+}
+
+proptest! {
+    #[test]
+    fn an_encoding_that_no_request_names_is_never_allowed(text in "[a-z0-9;=., -]{0,40}") {
+        let accepted = headers_with(ACCEPT_ENCODING, &[&text]);
+        let accepted = AcceptedEncodings::from_request(&accepted);
+        let answer = headers_with(CONTENT_ENCODING, &["UNNAMED"]);
+        prop_assume!(!text.contains("unnamed"));
+        prop_assert!(!accepted.allow(&answer));
+    }
+}
+
 #[yare::parameterized(
     millis = { "1500ms", Some(1_500) },
     seconds = { "2.5s", Some(2_500) },
--- a/wisteriaturnd/src/gate/answer_kind.rs
+++ b/wisteriaturnd/src/gate/answer_kind.rs
@@ -5,9 +5,10 @@
 //! Forwarding such a response would give a caller the answer to another
 //! caller's call.
 
-use hyper::header::{CONTENT_ENCODING, HeaderValue};
+use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 
+use crate::http::accept_encoding::AcceptedEncodings;
 use crate::http::headers::EdgeHeaders;
 
 /// What a response from a target's address is.
@@ -27,12 +28,12 @@
 
 impl AnswerKind {
     /// Classifies a response by its status and headers. `request_id` is the
-    /// caller's identifier for the attempt. `may_encode` is `true` if the
-    /// request has an `Accept-Encoding` header.
+    /// caller's identifier for the attempt, and `accepted` are the encodings that its
+    /// request accepts.
     pub fn classify<B>(
         edge: &EdgeHeaders,
         request_id: Option<&HeaderValue>,
-        may_encode: bool,
+        accepted: &AcceptedEncodings,
         response: &Response<B>,
     ) -> Self {
         let map = response.headers();
@@ -54,7 +55,7 @@
         {
             return Self::Foreign;
         }
-        if !may_encode && response.status().is_success() && map.contains_key(CONTENT_ENCODING) {
+        if response.status().is_success() && !accepted.allow(map) {
             return Self::Foreign;
         }
         Self::Own
--- a/wisteriaturnd/src/gate/send.rs
+++ b/wisteriaturnd/src/gate/send.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use hyper::body::Incoming;
-use hyper::header::ACCEPT_ENCODING;
 use hyper::{Request, Response};
 use tokio::time::timeout_at;
 use wisteriaturn::gate::outcome::RefusalReason;
@@ -12,6 +11,7 @@
 use crate::gate::answer_kind::AnswerKind;
 use crate::gate::notice;
 use crate::gate::targets::{self, LocalTarget};
+use crate::http::accept_encoding::AcceptedEncodings;
 use crate::http::body::{BufferedBody, NodeBody};
 use crate::http::exchange::{self, ExchangeError, pooled_body};
 use crate::http::headers;
@@ -51,7 +51,7 @@
     if let Some(instance) = &target.instance {
         headers::set(map, node.edge_headers.expected_instance.clone(), instance);
     }
-    let may_encode = map.contains_key(ACCEPT_ENCODING);
+    let accepted = AcceptedEncodings::from_request(map);
     let deadline = call.deadline.at().into();
     loop {
         let sent_at = node.clock.now();
@@ -61,7 +61,7 @@
                 let sent = SentCall {
                     call,
                     target,
-                    may_encode,
+                    accepted: &accepted,
                     sent_at,
                 };
                 return check(node, sent, response, connection).await;
@@ -83,8 +83,8 @@
 struct SentCall<'a> {
     call: &'a GateCall,
     target: &'a LocalTarget,
-    /// Whether the request has an `Accept-Encoding` header.
-    may_encode: bool,
+    /// The encodings that the request accepts.
+    accepted: &'a AcceptedEncodings,
     sent_at: Instant,
 }
 
@@ -100,7 +100,7 @@
     let kind = AnswerKind::classify(
         &node.edge_headers,
         call.request_id.as_ref(),
-        sent.may_encode,
+        sent.accepted,
         &response,
     );
     if matches!(kind, AnswerKind::Own | AnswerKind::NotRun) {
--- a/wisteriaturnd/src/http/mod.rs
+++ b/wisteriaturnd/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP listeners, client connections, bodies and headers.
 
+pub mod accept_encoding;
 pub mod body;
 pub mod exchange;
 pub mod headers;
