pool: close a connection whose answers do not name their request

A target rejected a request without its id and sent the rejection again after it had read the next request on the connection; the gate took the copy for the answer and sent that call to another target.

Cause: an answer without an id passed as the answer to whatever was outstanding, and its connection went back to the pool.

--- a/wisteriaturnd/src/gate/send.rs
+++ b/wisteriaturnd/src/gate/send.rs
@@ -94,7 +94,7 @@
     node: &NodeHandle,
     sent: SentCall<'_>,
     response: Response<Incoming>,
-    connection: PooledConnection,
+    mut connection: PooledConnection,
 ) -> SendOutcome {
     let SentCall { call, target, .. } = sent;
     let kind = AnswerKind::classify(
@@ -103,6 +103,9 @@
         sent.accepted,
         &response,
     );
+    connection.names_requests = call.request_id.as_ref().is_none_or(|request_id| {
+        response.headers().get(&node.edge_headers.request_id) == Some(request_id)
+    });
     if matches!(kind, AnswerKind::Own | AnswerKind::NotRun) {
         notice::record_answer(node, call, target, response.headers(), sent.sent_at);
     }
--- a/wisteriaturnd/src/http/pool.rs
+++ b/wisteriaturnd/src/http/pool.rs
@@ -1,8 +1,8 @@
 //! Pools of HTTP client connections.
 //!
-//! A connection is returned to its pool only after a complete exchange. If an
-//! exchange is abandoned, its connection is closed, so that a late response
-//! can't be mistaken for the response to a later request. Connections to other
+//! A connection is returned to its pool only after a complete exchange in which the answer
+//! said to which request it belongs. Any other connection is closed, so that a late
+//! response can't be mistaken for the response to a later request. Connections to other
 //! nodes start with a handshake, connections to targets do not.
 
 use std::collections::HashMap;
@@ -57,6 +57,9 @@
     pub boot_id: BootId,
     /// Whether the connection was used for an exchange before.
     pub is_reused: bool,
+    /// Whether the other side says which request it answers, so that a late copy of this
+    /// answer could be told from the answer to the next request.
+    pub names_requests: bool,
     /// Ends the connection while its bytes are being parsed.
     pub abort: AbortHandle,
     address: SocketAddr,
@@ -189,6 +192,7 @@
             sender,
             boot_id,
             is_reused: false,
+            names_requests: true,
             abort,
             address,
             idle_timeout: IDLE_TIMEOUT,
@@ -205,6 +209,7 @@
                     sender: connection.sender,
                     boot_id: connection.boot_id,
                     is_reused: true,
+                    names_requests: true,
                     abort: connection.abort,
                     address,
                     idle_timeout: connection.idle_timeout,
@@ -215,9 +220,10 @@
         None
     }
 
-    /// Returns a connection to the pool after a complete exchange.
+    /// Returns a connection to the pool after a complete exchange. Closes it if the next
+    /// answer on it could be taken for that of another request.
     pub fn release(&self, connection: PooledConnection) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || !connection.names_requests {
             return;
         }
         let mut idle = lock(&self.idle);
