--- a/testing/src/experiment/chaos.rs
+++ b/testing/src/experiment/chaos.rs
@@ -16,6 +16,7 @@
 use crate::cluster::{ClusterPlan, TestCluster};
 use crate::experiment::callers::{CallerLog, run_caller};
 use crate::experiment::faults::{FaultInjector, start_target};
+use crate::experiment::known_red::KnownBreak;
 use crate::experiment::observer::{ViewLog, observe_node};
 use crate::metrics;
 use crate::statement::StatementKind;
@@ -36,10 +37,10 @@
     #[options(help = "number of callers", default = "12")]
     callers: u64,
     #[options(
-        help = "promise that may be broken, as listed in KNOWN-RED.txt",
-        meta = "NAME"
+        help = "promise that the run with this seed may break, as listed in KNOWN-RED.txt",
+        meta = "SEED:PROMISE"
     )]
-    known_red: Vec<String>,
+    known_red: Vec<KnownBreak>,
 }
 
 /// The versions of accepted changes, with the time at which each was confirmed.
@@ -234,7 +235,10 @@
         "convergence of {} changes over nodes that were up, in ms: {convergence}",
         accepted.len()
     );
-    let is_known = |name: &str| options.known_red.iter().any(|known| known == name);
+    let is_known = |name: &str| {
+        let mut known = options.known_red.iter();
+        known.any(|entry| entry.excuses(options.seed, name))
+    };
     let is_kept = promises
         .iter()
         .all(|(name, seen, allowed)| seen <= allowed || is_known(name));
