testing: the soak checks that a stopping node answers what it takes

Not shown to fail before: the soak's runs are short beside its deadlines; process_stop_calls and stop_rules guard the decision.

--- a/testing/src/experiment/chaos.rs
+++ b/testing/src/experiment/chaos.rs
@@ -52,7 +52,10 @@
         nodes: options.nodes,
         data_centres: options.places,
         named_targets: true,
-        tuning: "probe_interval_ms = 300\nsuspect_timeout_ms = 1500\nsnapshot_every = 20".into(),
+        // A planned stop is longer than the deadline of any call, but not by much.
+        tuning: "probe_interval_ms = 300\nsuspect_timeout_ms = 1500\nsnapshot_every = 20\n\
+                 drain_timeout_ms = 4000"
+            .into(),
         ..ClusterPlan::default()
     })
     .await?;
@@ -204,6 +207,11 @@
             0,
         ),
         ("calls cut by planned stops", cut, 0),
+        (
+            "calls that a stopping node took and could not answer",
+            count_interrupted(calls),
+            0,
+        ),
         (
             "planned stops that did not exit with status 0",
             u64::from(faults.failed_stops),
@@ -326,6 +334,15 @@
     done.filter(|(id, _)| !runs.contains_key(*id)).count() as u64
 }
 
+/// Returns the number of calls that a node interrupted at the end of its stop.
+fn count_interrupted(calls: &CallerLog) -> u64 {
+    let totals = calls.totals.lock().expect("no panic");
+    let interrupted = totals
+        .iter()
+        .filter(|((_, outcome, reason), _)| outcome == "unknown" && reason == "draining");
+    interrupted.map(|(_, count)| *count).sum()
+}
+
 /// Returns the number of attempts that ended without an answer during a planned stop
 /// of their ingress node, and prints them.
 fn count_cut_by_stops(faults: &FaultInjector, calls: &CallerLog) -> u64 {
