ledger: move its expiry queues into a file of their own

The queue of ids with its bound is expiry.rs now; no behaviour changes, and ledger_rules and gate_rules pass as before.

--- a/src/gate/ledger.rs
+++ b/src/gate/ledger.rs
@@ -12,7 +12,7 @@
 //! the gate gives up knowledge and not calls: it answers `unknown` where it can no longer
 //! prove `not-run`.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use crate::clock::{SharedClock, lock};
+use crate::gate::expiry::ExpiryQueue;
 use crate::gate::outcome::RefusalReason;
 use crate::ids::CallId;
 use crate::invariant::{Invariant, check};
@@ -133,9 +134,6 @@
     Unknown,
 }
 
-/// Ids in the order in which they expire, with the time at which they do.
-type ExpiryQueue = VecDeque<(Duration, CallId)>;
-
 #[derive(Debug)]
 struct LedgerState {
     limits: LedgerLimits,
@@ -185,9 +183,9 @@
                 limits,
                 calls: HashMap::new(),
                 open: 0,
-                results: VecDeque::new(),
-                ended: VecDeque::new(),
-                revoked: VecDeque::new(),
+                results: ExpiryQueue::default(),
+                ended: ExpiryQueue::default(),
+                revoked: ExpiryQueue::default(),
                 stored_bytes: 0,
                 time: Duration::ZERO,
                 last_used: clock.now(),
@@ -283,11 +281,11 @@
         self.time += step.min(MAX_TIME_STEP);
         self.last_used = now;
         let (time, limits) = (self.time, self.limits);
-        while let Some(id) = pop_expired(&mut self.results, time, limits.results) {
+        while let Some(id) = self.results.pop(time, limits.results) {
             self.losses.results += u64::from(!id.has_expired);
             self.forget_result(id.call);
         }
-        while let Some(id) = pop_expired(&mut self.ended, time, limits.ended) {
+        while let Some(id) = self.ended.pop(time, limits.ended) {
             if !id.has_expired {
                 self.losses.ended += 1;
                 self.may_have_run_until = self.may_have_run_until.max(id.expires_at);
@@ -295,7 +293,7 @@
             self.calls.remove(&id.call);
         }
         // No id of a revoked call may be removed early: its request may still arrive.
-        while let Some(id) = pop_expired(&mut self.revoked, time, usize::MAX) {
+        while let Some(id) = self.revoked.pop(time, usize::MAX) {
             if let Some(CallState::Revoked) = self.calls.get(&id.call) {
                 self.calls.remove(&id.call);
             }
@@ -313,7 +311,7 @@
             return;
         }
         self.calls.insert(call, CallState::Ended);
-        self.ended.push_back((self.time + ID_RETENTION, call));
+        self.ended.push(self.time + ID_RETENTION, call);
     }
 
     /// Returns `true` if a call that is not in the ledger has provably not started and its
@@ -325,7 +323,7 @@
     fn insert_revoked(&mut self, call: CallId) {
         let previous = self.calls.insert(call, CallState::Revoked);
         self.open -= usize::from(is_open(previous.as_ref()));
-        self.revoked.push_back((self.time + ID_RETENTION, call));
+        self.revoked.push(self.time + ID_RETENTION, call);
     }
 }
 
@@ -333,28 +331,6 @@
     matches!(state, Some(CallState::Waiting(_) | CallState::Running(_)))
 }
 
-/// An id that was removed from an [`ExpiryQueue`].
-struct RemovedId {
-    call: CallId,
-    expires_at: Duration,
-    has_expired: bool,
-}
-
-/// Removes the first id of a queue if it has expired or the queue is longer than `limit`.
-fn pop_expired(queue: &mut ExpiryQueue, time: Duration, limit: usize) -> Option<RemovedId> {
-    let (expires_at, call) = *queue.front()?;
-    let has_expired = expires_at <= time;
-    if !has_expired && queue.len() <= limit {
-        return None;
-    }
-    queue.pop_front();
-    Some(RemovedId {
-        call,
-        expires_at,
-        has_expired,
-    })
-}
-
 fn stored_bytes(result: &CallResult) -> usize {
     match result {
         CallResult::Answered(answer) => answer.body.len(),
@@ -414,7 +390,7 @@
         let previous = state.calls.insert(self.call, finished);
         state.open -= usize::from(is_open(previous.as_ref()));
         let expires_at = state.time + ANSWER_RETENTION;
-        state.results.push_back((expires_at, self.call));
+        state.results.push(expires_at, self.call);
         drop(state);
         self.sender.send_replace(Some(result));
     }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod announce;
 pub mod claim;
+mod expiry;
 pub mod ledger;
 pub mod notice;
 pub mod outcome;
