rollout, team: decisions of roll-outs, keys and allowances

Cause: nothing chose targets by version, kept a key or an allowance (docs/design).

Change: src/rollout has the share that each node keeps by itself, the comparison of versions, the phases at the leading node and what a node knows; src/team has hashed keys, the keeper's bucket and the wallets of the nodes. A configuration may hold teams. Two invariants more are asserted: trial_bounded and allowance_bounded.

Ruled out: prefetching for nodes with less than two calls in half of the validity.

--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -26,6 +26,7 @@
 use crate::error::LogError;
 use crate::ids::{ConfigVersion, Offset, Revision, SourceEra};
 use crate::log_port::BoxFuture;
+use crate::rollout::state::RolloutOrder;
 
 /// A complete configuration as its source wrote it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -105,6 +106,8 @@
     pub next: Offset,
     /// Era of the source in which this was read.
     pub era: SourceEra,
+    /// Orders to roll out a version, where roll-outs are served.
+    pub orders: Vec<RolloutOrder>,
 }
 
 record! {
--- a/src/config/resource.rs
+++ b/src/config/resource.rs
@@ -10,7 +10,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{CallPriority, HostName, PathPrefix, Percent, RouteName, ServiceName, SlotCount};
+use crate::ids::{
+    CallPriority, HostName, PathPrefix, Percent, RequestRate, RouteName, ServiceName, SlotCount,
+    TeamName,
+};
+use crate::team::keeper::AllowanceLimit;
+use crate::team::key::TeamKey;
 
 /// Default deadline of a route, in milliseconds.
 pub const DEFAULT_DEADLINE_MS: u64 = 10_000;
@@ -85,6 +90,29 @@
         /// Priority among the calls of the same class; 0 is served first.
         #[serde(default)]
         pub priority: CallPriority,
+        /// Whether calls need no key of a team.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub public: bool,
+    }
+
+    /// A team, on whose behalf callers make calls.
+    #[serde(deny_unknown_fields)]
+    pub struct TeamSpec {
+        /// Name of the team. Targets are told it.
+        pub name: TeamName,
+        /// Keys by which callers show that they belong to the team.
+        #[serde(default)]
+        pub keys: Vec<TeamKey>,
+        /// Priority of the team's calls, which goes before that of their route.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub priority: Option<CallPriority>,
+        /// Calls per second that the team may make through all nodes together; no limit
+        /// if 0.
+        #[serde(default, with = "rate_number")]
+        pub rate_per_s: RequestRate,
+        /// Calls beyond the rate that may come at once.
+        #[serde(default)]
+        pub burst: u32,
     }
 
     /// Limits on the requests and connections of callers.
@@ -152,6 +180,8 @@
         Policy(PolicySpec),
         /// Limits on callers.
         Limits(LimitsSpec),
+        /// A team.
+        Team(TeamSpec),
     }
 }
 
@@ -167,6 +197,8 @@
     Policy,
     /// Limits on callers.
     Limits,
+    /// A team.
+    Team,
 }
 
 /// The class of a call in the queue of a gate; interactive calls are served
@@ -207,6 +239,7 @@
             Resource::Route(spec) => ResourceKey::new(ResourceKind::Route, spec.name.as_str()),
             Resource::Policy(spec) => ResourceKey::new(ResourceKind::Policy, spec.service.as_str()),
             Resource::Limits(spec) => ResourceKey::new(ResourceKind::Limits, spec.name.as_str()),
+            Resource::Team(spec) => ResourceKey::new(ResourceKind::Team, spec.name.as_str()),
         }
     }
 }
@@ -234,6 +267,7 @@
             ResourceKind::Route => "route",
             ResourceKind::Policy => "policy",
             ResourceKind::Limits => "limits",
+            ResourceKind::Team => "team",
         })
     }
 }
@@ -247,8 +281,9 @@
             "route" | "routes" => Ok(ResourceKind::Route),
             "policy" | "policies" => Ok(ResourceKind::Policy),
             "limits" => Ok(ResourceKind::Limits),
+            "team" | "teams" => Ok(ResourceKind::Team),
             _ => Err(format!(
-                "unknown kind {text:?}, allowed are service, route, policy and limits"
+                "unknown kind {text:?}, allowed are service, route, policy, limits and team"
             )),
         }
     }
@@ -292,6 +327,16 @@
     }
 }
 
+impl TeamSpec {
+    /// Returns what the team may ask of all nodes together, or `None` if it has no limit.
+    pub fn limit(&self) -> Option<AllowanceLimit> {
+        (self.rate_per_s > RequestRate::default()).then_some(AllowanceLimit {
+            rate: self.rate_per_s,
+            burst: self.burst,
+        })
+    }
+}
+
 impl LimitsSpec {
     /// Returns the time after which an idle connection is closed.
     pub fn idle_timeout(&self) -> Duration {
@@ -394,6 +439,28 @@
     }
 }
 
+/// A rate as the number of requests per second.
+mod rate_number {
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    use crate::ids::RequestRate;
+
+    pub(super) fn serialize<S>(rate: &RequestRate, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.serialize_f64(rate.per_second())
+    }
+
+    pub(super) fn deserialize<'de, D>(deserializer: D) -> Result<RequestRate, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let per_second = f64::deserialize(deserializer)?;
+        RequestRate::try_from(per_second).map_err(serde::de::Error::custom)
+    }
+}
+
 fn default_slots() -> SlotCount {
     SlotCount(64)
 }
--- a/src/config/validate.rs
+++ b/src/config/validate.rs
@@ -70,6 +70,13 @@
         /// Description of the allowed values.
         allowed: String,
     },
+    /// Two teams hold the same key.
+    SharedKey {
+        /// One team.
+        one: ResourceKey,
+        /// The other team.
+        other: ResourceKey,
+    },
 }
 
 impl fmt::Display for Rejection {
@@ -87,6 +94,9 @@
             Rejection::NoService { key, service } => {
                 write!(f, "{key} names service/{service}, which does not exist")
             }
+            Rejection::SharedKey { one, other } => {
+                write!(f, "{one} and {other} hold the same key")
+            }
             Rejection::SameMatch { one, other } => {
                 write!(f, "{one} and {other} match the same host and path")
             }
@@ -125,11 +135,24 @@
 /// Returns the first [`Rejection`] found.
 pub fn validate(resources: &ResourceMap) -> Result<(), Rejection> {
     let mut route_matches = BTreeMap::new();
+    let mut team_keys = BTreeMap::new();
     for (key, entry) in resources {
         match &entry.resource {
             Resource::Service(spec) => check_service(key, spec)?,
             Resource::Policy(spec) => check_policy(key, spec, resources)?,
             Resource::Limits(spec) => check_limits(key, spec)?,
+            Resource::Team(spec) => {
+                for team_key in &spec.keys {
+                    if let Some(other) = team_keys.insert(*team_key, key.clone())
+                        && other != *key
+                    {
+                        return Err(Rejection::SharedKey {
+                            one: other,
+                            other: key.clone(),
+                        });
+                    }
+                }
+            }
             Resource::Route(spec) => {
                 check_route(key, spec, resources)?;
                 let route_match = (spec.host.clone(), unique_path(spec).to_owned());
--- a/src/config/view.rs
+++ b/src/config/view.rs
@@ -21,9 +21,11 @@
 use crate::error::ViewError;
 use crate::ids::{
     ConfigVersion, DataCentre, Incarnation, LinkRate, NodeAddress, RegionName, ServiceName,
+    TargetVersion,
 };
 use crate::invariant::{Invariant, check};
 use crate::member::record::{MemberRecord, MemberState, TargetRecord, TargetState};
+use crate::team::key::TeamTable;
 
 /// A service and the policy that applies to it.
 #[derive(Debug)]
@@ -56,6 +58,8 @@
     pub services: BTreeMap<ServiceName, Arc<ServiceEntry>>,
     /// Limits on callers, if the configuration sets them.
     pub limits: Option<LimitsSpec>,
+    /// Teams. If there are none, calls need no key.
+    pub teams: Arc<TeamTable>,
     routes_by_host: HashMap<String, Vec<Arc<RouteEntry>>>,
     routes_for_any_host: Vec<Arc<RouteEntry>>,
 }
@@ -80,6 +84,7 @@
             chain: state.chain(),
             resources: state.resources().clone(),
             limits,
+            teams: Arc::new(teams(state)),
             ..Self::default()
         };
         for entry in state.resources().values() {
@@ -106,6 +111,16 @@
     }
 }
 
+fn teams(state: &ConfigState) -> TeamTable {
+    let mut teams = TeamTable::default();
+    for entry in state.resources().values() {
+        if let Resource::Team(spec) = &entry.resource {
+            teams.insert(spec);
+        }
+    }
+    teams
+}
+
 fn dangling_reference(key: String) -> ViewError {
     check(Invariant::ViewComplete, false);
     ViewError::DanglingReference(key)
@@ -217,6 +232,8 @@
     pub serving_since: Instant,
     /// Whether the failure detector suspects the target's node of being dead.
     pub is_suspect: bool,
+    /// Version of the target's software, where roll-outs are served.
+    pub version: Option<TargetVersion>,
 }
 
 /// Returns `true` if a target is serving and its service permits its address.
@@ -240,6 +257,7 @@
         link: member.link,
         serving_since,
         is_suspect: member.state == MemberState::Suspect,
+        version: target.version.clone(),
     }
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -49,6 +49,38 @@
 
 impl std::error::Error for NameError {}
 
+/// The reason why a team's key is invalid. It never shows the key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum KeyError {
+    /// The key is empty.
+    Empty,
+    /// The key is too long.
+    TooLong {
+        /// Length in bytes.
+        length: usize,
+    },
+    /// The key contains a byte that is not visible ASCII.
+    InvalidByte,
+    /// The hash of a key is not 32 hexadecimal digits.
+    Hash,
+}
+
+impl fmt::Display for KeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            KeyError::Empty => f.write_str("the key must not be empty"),
+            KeyError::TooLong { length } => {
+                write!(f, "the key has {length} bytes, at most 256 are allowed")
+            }
+            KeyError::InvalidByte => f.write_str("the key must be visible ASCII"),
+            KeyError::Hash => f.write_str("the hash of a key must be 32 hexadecimal digits"),
+        }
+    }
+}
+
+impl std::error::Error for KeyError {}
+
 /// A text or number that is not a rate of requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RateError(pub String);
--- a/src/gate/outcome.rs
+++ b/src/gate/outcome.rs
@@ -64,6 +64,12 @@
     BadRequest,
     /// The target reported that it did not run the call.
     TargetBusy,
+    /// No team holds the caller's key, or the caller showed none.
+    UnknownKey,
+    /// The caller's team has used up its allowance.
+    OverAllowance,
+    /// This node cannot find out whether the caller's team has room.
+    AllowanceUnknown,
 }
 
 impl CallOutcome {
@@ -96,7 +102,7 @@
     }
 }
 
-const REASON_NAMES: [(RefusalReason, &str); 17] = [
+const REASON_NAMES: [(RefusalReason, &str); 20] = [
     (RefusalReason::Saturated, "saturated"),
     (RefusalReason::Crowded, "crowded"),
     (RefusalReason::Deadline, "deadline"),
@@ -114,6 +120,9 @@
     (RefusalReason::TargetLost, "target-lost"),
     (RefusalReason::BadRequest, "bad-request"),
     (RefusalReason::TargetBusy, "target-busy"),
+    (RefusalReason::UnknownKey, "unknown-key"),
+    (RefusalReason::OverAllowance, "over-allowance"),
+    (RefusalReason::AllowanceUnknown, "allowance-unknown"),
 ];
 
 impl RefusalReason {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -53,6 +53,8 @@
     SlotCount(u16);
     /// A percentage, 0 to 100.
     Percent(u8);
+    /// A share in thousandths, 0 to 1000.
+    Permille(u16);
     /// The priority of a waiting call; 0 is served first.
     CallPriority(u8);
     /// The bandwidth of a VM's network link in kbit/s; 0 when unknown.
@@ -134,6 +136,10 @@
     RegionName, check_name;
     /// The name that identifies one run of a target's process.
     InstanceId, check_name;
+    /// The version of a target's software.
+    TargetVersion, check_name;
+    /// The name of a team, on whose behalf callers make calls.
+    TeamName, check_name;
     /// The name of the author of a change.
     AuthorName, check_name;
     /// A host name that a route matches.
@@ -155,8 +161,16 @@
     pub fn of_key(service: &ServiceName, key: &[u8]) -> Self {
         Self(hash_parts(&[service.as_str().as_bytes(), key]))
     }
+
+    /// Returns the hash under which a team's key is known.
+    pub fn of_team_key(key: &[u8]) -> Self {
+        Self(hash_parts(&[TEAM_KEY_CONTEXT, key]))
+    }
 }
 
+/// Keeps hashes of team keys apart from those of other keys.
+const TEAM_KEY_CONTEXT: &[u8] = b"wisteriaturn team key";
+
 fn hash_parts(parts: &[&[u8]]) -> u128 {
     let mut hasher = blake3::Hasher::new();
     for part in parts {
--- a/src/invariant.rs
+++ b/src/invariant.rs
@@ -25,16 +25,22 @@
     SentOnce,
     /// A draining gate admits no calls.
     DrainedGate,
+    /// A node sends a version on trial no more than its share of the calls.
+    TrialBounded,
+    /// A keeper grants a team no more than its allowance.
+    AllowanceBounded,
 }
 
 /// All invariants, in the order in which they are declared and counted.
-pub const INVARIANTS: [Invariant; 6] = [
+pub const INVARIANTS: [Invariant; 8] = [
     Invariant::VersionRises,
     Invariant::ViewComplete,
     Invariant::SameFold,
     Invariant::NotRunStays,
     Invariant::SentOnce,
     Invariant::DrainedGate,
+    Invariant::TrialBounded,
+    Invariant::AllowanceBounded,
 ];
 
 static VIOLATION_COUNTS: [AtomicU64; INVARIANTS.len()] =
@@ -51,6 +57,8 @@
             Invariant::NotRunStays => "not_run_stays",
             Invariant::SentOnce => "sent_once",
             Invariant::DrainedGate => "drained_gate",
+            Invariant::TrialBounded => "trial_bounded",
+            Invariant::AllowanceBounded => "allowance_bounded",
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,4 +29,6 @@
 pub mod member;
 pub mod peer;
 pub mod retry;
+pub mod rollout;
 pub mod route;
+pub mod team;
--- a/src/member/record.rs
+++ b/src/member/record.rs
@@ -5,7 +5,7 @@
 
 use crate::ids::{
     DataCentre, Incarnation, InstanceId, LinkRate, NodeAddress, RegionName, Sequence, ServiceName,
-    SlotCount,
+    SlotCount, TargetVersion,
 };
 
 /// Maximum number of targets that one node announces.
@@ -36,6 +36,8 @@
         pub slots: SlotCount,
         /// Whether the target accepts calls.
         pub state: TargetState,
+        /// The version of the target's software, where roll-outs are served.
+        pub version: Option<TargetVersion>,
     }
 
     /// A target that announced that it is leaving.
--- a/src/member/rumor.rs
+++ b/src/member/rumor.rs
@@ -9,6 +9,7 @@
 
 use crate::ids::{Fingerprint, NodeAddress};
 use crate::member::record::MemberRecord;
+use crate::rollout::state::RolloutState;
 
 /// Maximum number of queued rumors.
 pub const MAX_QUEUED_RUMORS: usize = 512;
@@ -34,6 +35,8 @@
             /// Fingerprint of the request.
             fingerprint: Fingerprint,
         },
+        /// How far the roll-out of a service is.
+        Rollout(RolloutState),
     }
 }
 
@@ -55,15 +58,14 @@
         Self::default()
     }
 
-    /// Queues a rumor, replacing an older one about the same member. `members`
+    /// Queues a rumor, replacing an older one about the same member or roll-out. `members`
     /// is the number of members, which determines how often the rumor is sent.
     pub fn push(&mut self, rumor: Rumor, members: usize) {
-        if let Rumor::Member(record) = &rumor {
-            self.queue.retain(|queued| match &queued.rumor {
-                Rumor::Member(queued_record) => queued_record.address != record.address,
-                Rumor::Suspect { .. } | Rumor::Cleared { .. } => true,
-            });
-        }
+        self.queue.retain(|queued| match (&queued.rumor, &rumor) {
+            (Rumor::Member(old), Rumor::Member(new)) => old.address != new.address,
+            (Rumor::Rollout(old), Rumor::Rollout(new)) => old.order.service != new.order.service,
+            _ => true,
+        });
         if self.queue.len() >= MAX_QUEUED_RUMORS {
             self.queue.pop_back();
         }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -16,9 +16,15 @@
 use crate::gate::claim::{ClaimOutcome, ClaimRequest};
 use crate::gate::ledger::CallResult;
 use crate::gate::outcome::RefusalReason;
-use crate::ids::{BootId, CallId, ConfigVersion, DataCentre, Incarnation, NodeAddress, Offset};
+use crate::ids::{
+    BootId, CallId, ConfigVersion, DataCentre, Incarnation, NodeAddress, Offset, ServiceName,
+    TeamName,
+};
 use crate::member::record::{MemberRecord, TargetDeparture};
 use crate::member::rumor::Rumor;
+use crate::rollout::evidence::GateEvidence;
+use crate::rollout::state::RolloutState;
+use crate::team::keeper::AllowanceGrant;
 
 /// Maximum size of a datagram in bytes, below the smallest common path MTU.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
@@ -113,6 +119,35 @@
             /// The departures.
             departures: Vec<TargetDeparture>,
         },
+        /// Asks the keeper of a team's allowance for calls.
+        AllowanceQuestion {
+            /// The team.
+            team: TeamName,
+            /// Number of the question; a repeated one has the same.
+            number: u64,
+            /// Calls that the sender wants to make.
+            wanted: u16,
+            /// Whether the keeper that is first in line has not answered.
+            is_first_silent: bool,
+        },
+        /// Answers an [`Datagram::AllowanceQuestion`].
+        AllowanceAnswer {
+            /// The team.
+            team: TeamName,
+            /// Number of the question.
+            number: u64,
+            /// The answer.
+            grant: AllowanceGrant,
+        },
+        /// Tells the node that leads a roll-out what the sender's gate has seen of it.
+        RolloutEvidence {
+            /// The service.
+            service: ServiceName,
+            /// Offset of the order.
+            order: Offset,
+            /// What the gate has seen.
+            evidence: GateEvidence,
+        },
     }
 
     /// A request that is sent over a connection.
@@ -188,6 +223,8 @@
             /// Target departures that an earlier incarnation of the sender
             /// announced.
             departures: Vec<TargetDeparture>,
+            /// The roll-outs that the receiver knows of.
+            rollouts: Vec<RolloutState>,
         },
         /// The data centres whose members differ.
         Differing(Vec<DataCentre>),
--- a/tests/integration/load_rules.rs
+++ b/tests/integration/load_rules.rs
@@ -216,6 +216,7 @@
         link: LinkRate::default(),
         serving_since,
         is_suspect: false,
+        version: None,
     }
 }
 
--- a/tests/integration/load_simulation.rs
+++ b/tests/integration/load_simulation.rs
@@ -156,6 +156,7 @@
                     link: LinkRate::default(),
                     serving_since: start,
                     is_suspect: false,
+                    version: None,
                 });
             }
         }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -30,6 +30,8 @@
 mod process_routing;
 mod process_stop;
 mod process_stop_calls;
+mod rollout_rules;
 mod route_rules;
 mod stop_rules;
 mod target_announcements;
+mod team_rules;
--- a/tests/integration/route_rules.rs
+++ b/tests/integration/route_rules.rs
@@ -43,6 +43,7 @@
         link: LinkRate::default(),
         serving_since: Instant::now(),
         is_suspect: false,
+        version: None,
     }
 }
 
