node, platform: serve roll-outs and teams

Change: gates report what they see of a roll-out, the first in line leads it, the log decides how it ends; the ingress finds the team of a key, asks the keeper of its allowance and refuses with 401, 429 or 503; all of it only where settings or configuration call for it. An order is not passed over any more when several documents are written at once.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -88,6 +88,7 @@
             address,
             slots: SlotCount(6),
             state: TargetState::Serving,
+            version: None,
         }],
         departures: Vec::new(),
     }
--- a/testing/src/experiment/scale.rs
+++ b/testing/src/experiment/scale.rs
@@ -158,6 +158,7 @@
             address,
             slots: SlotCount(6),
             state: TargetState::Serving,
+            version: None,
         }],
         departures: Vec::new(),
     }
--- a/wisteriaturnd/src/control/documents.rs
+++ b/wisteriaturnd/src/control/documents.rs
@@ -31,6 +31,7 @@
 use crate::mesh::peer_client;
 use crate::metrics::TrafficKind;
 use crate::node::NodeHandle;
+use crate::rollout::task;
 
 /// Time for an answer of the source beyond the wait that a read allows, after which the
 /// reader tries another connection. A source that answers no read in this time is given
@@ -155,6 +156,7 @@
             // position that was already reached.
             position => position.max(Some(next)),
         };
+        task::take_orders(node, batch.orders);
         if let Some(document) = batch.newest {
             let version = document.version;
             adopt_if_newer(node, document);
--- a/wisteriaturnd/src/control/source.rs
+++ b/wisteriaturnd/src/control/source.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Returns `true` if this node, which holds `held`, lacks a version of its peers.
+    pub fn is_missing(&self, held: ConfigVersion) -> bool {
+        lock(&self.missing_version).is_some_and(|(first, _)| first > held)
+    }
+
     /// Returns `true` if this node, which holds `held`, has lacked a version of its
     /// peers for longer than it normally takes to receive one.
     pub fn is_overdue(&self, held: ConfigVersion, now: Instant) -> bool {
--- a/wisteriaturnd/src/control/start.rs
+++ b/wisteriaturnd/src/control/start.rs
@@ -23,6 +23,7 @@
 use crate::mesh::rumors;
 use crate::metrics::TrafficKind;
 use crate::node::{NodeHandle, NodeStage};
+use crate::rollout::task;
 
 /// Number of ready peers whose versions suffice in place of the log or the
 /// document source.
@@ -190,6 +191,7 @@
         seen_version,
         seen_incarnation,
         departures,
+        rollouts,
     }) = answer
     else {
         return;
@@ -205,6 +207,9 @@
     }
     peer_client::merge_records(node, records);
     targets::restore_departures(node, &departures).await;
+    for state in rollouts {
+        task::merge(node, state);
+    }
 }
 
 /// Raises the incarnation of this node above the one that peers have seen, which
--- a/wisteriaturnd/src/gate/admit.rs
+++ b/wisteriaturnd/src/gate/admit.rs
@@ -97,6 +97,12 @@
         .targets
         .get(&call.service)
         .ok_or(RefusalReason::NoTarget)?;
+    if node
+        .rollouts
+        .is_closed(&call.service, target.version.as_ref())
+    {
+        return Err(RefusalReason::Draining);
+    }
     let run_time = expected_run_time(node, call, &target);
     let schedule = node.stop_schedule.get();
     if schedule.is_some_and(|schedule| !schedule.gate_takes(run_time, now)) {
--- a/wisteriaturnd/src/gate/answer.rs
+++ b/wisteriaturnd/src/gate/answer.rs
@@ -21,6 +21,8 @@
     match (outcome, reason) {
         (_, RefusalReason::NoRoute) => StatusCode::NOT_FOUND,
         (_, RefusalReason::BadRequest) => StatusCode::BAD_REQUEST,
+        (_, RefusalReason::UnknownKey) => StatusCode::UNAUTHORIZED,
+        (CallOutcome::NotRun, RefusalReason::OverAllowance) => StatusCode::TOO_MANY_REQUESTS,
         (CallOutcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
         (_, RefusalReason::Deadline) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
@@ -41,10 +43,10 @@
         response
     }
 
-    /// Sets `Retry-After` on a response with status 503, in the format that
+    /// Sets `Retry-After` on a response with status 429 or 503, in the format that
     /// callers understand. Leaves other responses unchanged.
     pub fn set_retry_after(&self, response: &mut Response<NodeBody>, after: Duration) {
-        if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        if !is_for_later(response.status()) {
             return;
         }
         let seconds = after.as_secs_f64();
@@ -57,6 +59,15 @@
     }
 }
 
+/// Returns `true` if a response with this status says that the call was not run and may be
+/// made again later.
+fn is_for_later(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
 /// Returns a response that states the outcome and the reason of a call without
 /// an answer from a target.
 pub fn refusal(outcome: CallOutcome, reason: RefusalReason) -> Response<NodeBody> {
@@ -67,7 +78,7 @@
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     headers::set(headers, headers::OUTCOME, outcome);
     headers::set(headers, headers::REASON, reason);
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+    if is_for_later(response.status()) {
         let value = HeaderValue::from_static(DEFAULT_RETRY_AFTER_SECONDS);
         response.headers_mut().insert(RETRY_AFTER, value);
     }
--- a/wisteriaturnd/src/gate/run.rs
+++ b/wisteriaturnd/src/gate/run.rs
@@ -98,7 +98,9 @@
     let address = target.address;
     let started = node.clock.now();
     node.metrics.target_runs.inc();
-    let (response, connection) = match send(node, call, connection, &target, request).await {
+    let outcome = send(node, call, connection, &target, request).await;
+    record_evidence(node, call, &outcome, started);
+    let (response, connection) = match outcome {
         SendOutcome::Answered(response, connection) => (*response, connection),
         SendOutcome::NotRun => return refusal(CallOutcome::NotRun, RefusalReason::TargetBusy),
         SendOutcome::Foreign => return refusal(CallOutcome::Unknown, RefusalReason::TargetLost),
@@ -120,6 +122,18 @@
     Response::from_parts(parts, body)
 }
 
+/// Counts the result of a run for the roll-out of its service.
+fn record_evidence(node: &NodeHandle, call: &GateCall, outcome: &SendOutcome, started: Instant) {
+    let is_failure = match outcome {
+        SendOutcome::Answered(response, _) => response.status().is_server_error(),
+        SendOutcome::Foreign | SendOutcome::Lost(_) => true,
+        SendOutcome::NotRun => return,
+    };
+    let run_time = node.clock.now().saturating_duration_since(started);
+    node.rollouts
+        .record_run(&call.service, call.route.as_ref(), is_failure, run_time);
+}
+
 async fn run_once(
     node: &NodeHandle,
     call: GateCall,
@@ -214,6 +228,7 @@
     let address = target.address;
     let started = node.clock.now();
     let outcome = send(node, &call, connection, &target, request).await;
+    record_evidence(node, &call, &outcome, started);
     let run = StartedRun {
         node: node.clone(),
         call,
--- a/wisteriaturnd/src/gate/targets.rs
+++ b/wisteriaturnd/src/gate/targets.rs
@@ -15,7 +15,7 @@
 use wisteriaturn::gate::announce::AnnouncementSummary;
 use wisteriaturn::gate::notice::LimitTracker;
 use wisteriaturn::gate::slots::SlotGate;
-use wisteriaturn::ids::{Incarnation, InstanceId, Sequence, ServiceName, SlotCount};
+use wisteriaturn::ids::{Incarnation, InstanceId, Sequence, ServiceName, SlotCount, TargetVersion};
 use wisteriaturn::member::record::{MAX_TARGETS, TargetDeparture, TargetRecord, TargetState};
 
 use crate::mesh::{departures, rumors};
@@ -45,6 +45,9 @@
     /// Number of the announcement within the incarnation.
     #[serde(default)]
     pub sequence: Sequence,
+    /// Version of the target's software.
+    #[serde(default)]
+    pub version: Option<TargetVersion>,
 }
 
 impl TargetAnnouncement {
@@ -130,6 +133,8 @@
     pub instance: Option<InstanceId>,
     /// Incarnation of the target.
     pub incarnation: Incarnation,
+    /// Version of the target's software, where roll-outs are served.
+    pub version: Option<TargetVersion>,
     /// Gate that limits the concurrent calls.
     pub gate: SlotGate,
     /// The limit that the target names in its answers.
@@ -202,6 +207,7 @@
                 } else {
                     TargetState::Serving
                 },
+                version: target.version.clone(),
             })
             .collect()
     }
@@ -301,6 +307,10 @@
         address: announcement.address,
         instance: announcement.instance.clone(),
         incarnation: announcement.incarnation,
+        version: announcement
+            .version
+            .clone()
+            .filter(|_| node.rollouts.is_enabled()),
         gate: SlotGate::new(announcement.slots.0, Arc::clone(&node.clock)),
         limit: Mutex::default(),
         slots: Mutex::new(announcement.slots),
--- a/wisteriaturnd/src/http/headers.rs
+++ b/wisteriaturnd/src/http/headers.rs
@@ -80,6 +80,10 @@
     pub expected_instance: HeaderName,
     /// Service of the VM from which a call came.
     pub caller_service: HeaderName,
+    /// Key by which a caller shows that it belongs to a team. It goes no further.
+    pub team_key: HeaderName,
+    /// Team of the caller, as targets are told it.
+    pub team: HeaderName,
     /// Set by a target that did not run a call.
     pub not_run: HeaderName,
     /// Set on every successful response of a target, or `None` if targets do not
@@ -110,6 +114,8 @@
             request_id: HeaderName::from_static("wisteriaturn-request-id"),
             expected_instance: HeaderName::from_static("wisteriaturn-expected-instance"),
             caller_service: HeaderName::from_static("wisteriaturn-caller-service"),
+            team_key: HeaderName::from_static("wisteriaturn-team-key"),
+            team: HeaderName::from_static("wisteriaturn-team"),
             not_run: HeaderName::from_static("wisteriaturn-not-run"),
             response_stamp: None,
             target_limit: HeaderName::from_static("wisteriaturn-target-limit"),
--- a/wisteriaturnd/src/ingress/attempt.rs
+++ b/wisteriaturnd/src/ingress/attempt.rs
@@ -23,7 +23,7 @@
 use wisteriaturn::gate::notice::TargetNotice;
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::quarantine::QuarantineStatus;
-use wisteriaturn::ids::{CallId, Fingerprint, KeyHash, NodeAddress};
+use wisteriaturn::ids::{CallId, CallPriority, Fingerprint, KeyHash, NodeAddress};
 use wisteriaturn::retry::budget::RetryBudget;
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::route::load::AttemptResult;
@@ -38,6 +38,7 @@
 use crate::logs::Sanitized;
 use crate::mesh::hop::{self, GateCall, HopResult};
 use crate::node::NodeHandle;
+use crate::team::identify::{ProvenTeam, is_in_force};
 
 /// Maximum number of attempts per call. Attempts that a gate refused as `crowded`
 /// are not counted.
@@ -72,6 +73,8 @@
     pub route: Arc<RouteEntry>,
     /// The service that was chosen from those of the route.
     pub service: Arc<ServiceEntry>,
+    /// The team on whose behalf the call is made.
+    pub team: Option<ProvenTeam>,
     /// The caller's request id.
     pub request_id: Option<HeaderValue>,
     /// The time up to which the answer has its full value, from the route's target
@@ -94,6 +97,12 @@
 }
 
 impl RoutedCall {
+    /// Returns the priority of the call: that of its team, or else of its route.
+    fn priority(&self) -> CallPriority {
+        let of_team = self.team.as_ref().and_then(|team| team.spec.priority);
+        of_team.unwrap_or(self.route.spec.priority)
+    }
+
     /// Returns the caller's request id, sanitized for log lines.
     pub(crate) fn loggable_request_id(&self) -> Sanitized<'_> {
         Sanitized::from_header(self.request_id.as_ref())
@@ -264,6 +273,10 @@
         && call.body.is_replayable()
         && call.deadline.allows_attempt(now)
         && quarantine == QuarantineStatus::Clean
+        && call
+            .team
+            .as_ref()
+            .is_none_or(|team| is_in_force(node, team))
 }
 
 async fn make_attempt(
@@ -326,7 +339,7 @@
     GateCall {
         call: CallId(rand::random()),
         class: call.route.spec.class,
-        priority: call.route.spec.priority,
+        priority: call.priority(),
         route: Some(call.route.spec.name.clone()),
         soft_deadline: call.soft_deadline,
         request_id: call.request_id.clone(),
@@ -467,6 +480,9 @@
         _ => AttemptResult::Refused,
     };
     let elapsed = now.duration_since(started);
+    if finished.may_have_reached_target() {
+        node.rollouts.record_reached(service);
+    }
     if result == AttemptResult::Answered {
         let bytes = finished.response.body().size_hint().lower();
         node.answer_estimates
--- a/wisteriaturnd/src/ingress/call.rs
+++ b/wisteriaturnd/src/ingress/call.rs
@@ -15,7 +15,7 @@
 use wisteriaturn::config::view::{RouteEntry, ServiceEntry, ServingView};
 use wisteriaturn::gate::outcome::{CallOutcome, RefusalReason};
 use wisteriaturn::gate::quarantine::QuarantineStatus;
-use wisteriaturn::ids::Fingerprint;
+use wisteriaturn::ids::{Fingerprint, TeamName};
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::route::limit::RoutePermit;
 
@@ -27,6 +27,8 @@
 use crate::logs::Sanitized;
 use crate::metrics::CallLabels;
 use crate::node::{NodeHandle, NodeStage};
+use crate::team::admission::{self, TeamPermit};
+use crate::team::identify::{CallOrigin, ProvenTeam, find_team};
 
 /// Maximum size of a request head, in bytes.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -52,6 +54,8 @@
     reason: &'static str,
     status: u16,
     request_id: String,
+    origin: CallOrigin,
+    team: Option<TeamName>,
     bytes: Arc<AtomicU64>,
 }
 
@@ -73,6 +77,8 @@
             method:% = Sanitized(self.method.as_str()),
             path:% = Sanitized(&self.path),
             route:% = self.route,
+            origin = self.origin.name(),
+            team:% = self.team.as_ref().map_or("-", TeamName::as_str),
             outcome:% = self.outcome,
             reason = self.reason,
             status = self.status,
@@ -86,7 +92,11 @@
 
 /// Handles one request from a caller, and logs and counts the call when its
 /// response body ends.
-pub async fn handle(node: &NodeHandle, request: Request<NodeBody>) -> Response<NodeBody> {
+pub async fn handle(
+    node: &NodeHandle,
+    origin: CallOrigin,
+    request: Request<NodeBody>,
+) -> Response<NodeBody> {
     let started = node.clock.now();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
@@ -96,17 +106,27 @@
     let served = tokio::select! {
         // A request that is read only now must be refused as not run, not interrupted.
         biased;
-        served = Box::pin(serve(node, request)) => served,
+        served = Box::pin(serve(node, origin, request)) => served,
         () = wait_until_closing(node) => Ok(interrupted_call()),
     };
-    let (response, route, permit) = match served {
-        Ok(served) => (served.response, served.route, served.permit),
-        Err(reason) => (
-            node.refusal(CallOutcome::NotRun, reason, retry_after(node, reason)),
-            None,
-            None,
+    let served = served.unwrap_or_else(|refused| ServedCall {
+        response: node.refusal(
+            CallOutcome::NotRun,
+            refused.reason,
+            refused
+                .retry_after
+                .unwrap_or_else(|| retry_after(node, refused.reason)),
         ),
-    };
+        route: refused.route,
+        team: refused.team,
+        permit: None,
+    });
+    let ServedCall {
+        response,
+        route,
+        team,
+        permit,
+    } = served;
     let record = CallRecord {
         node: node.clone(),
         method,
@@ -119,6 +139,8 @@
             .map_or("none", RefusalReason::name),
         status: response.status().as_u16(),
         request_id,
+        origin,
+        team,
         bytes: Arc::default(),
     };
     response.map(|body| {
@@ -134,9 +156,31 @@
 struct ServedCall {
     response: Response<NodeBody>,
     route: Option<String>,
+    team: Option<TeamName>,
     permit: Option<RoutePermit>,
 }
 
+/// A call that was refused before an attempt was made.
+#[derive(Debug)]
+struct RefusedCall {
+    reason: RefusalReason,
+    route: Option<String>,
+    team: Option<TeamName>,
+    /// When the caller may come back, if something is known of that.
+    retry_after: Option<Duration>,
+}
+
+impl From<RefusalReason> for RefusedCall {
+    fn from(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            route: None,
+            team: None,
+            retry_after: None,
+        }
+    }
+}
+
 /// Waits until the node reaches [`NodeStage::Closing`], in which calls in flight
 /// are interrupted.
 async fn wait_until_closing(node: &NodeHandle) {
@@ -151,6 +195,7 @@
     ServedCall {
         response: refusal(CallOutcome::Unknown, RefusalReason::Draining),
         route: None,
+        team: None,
         permit: None,
     }
 }
@@ -169,11 +214,15 @@
     })
 }
 
-async fn serve(node: &NodeHandle, request: Request<NodeBody>) -> Result<ServedCall, RefusalReason> {
+async fn serve(
+    node: &NodeHandle,
+    origin: CallOrigin,
+    request: Request<NodeBody>,
+) -> Result<ServedCall, RefusedCall> {
     // The stage is not checked here: a node that is stopped while it starts has
     // left the starting stage but still has no current configuration.
     if !node.was_ready.load(Ordering::Acquire) {
-        return Err(RefusalReason::NotReady);
+        return Err(RefusalReason::NotReady.into());
     }
     let view = node.view.load();
     check_request(node, &view, &request)?;
@@ -183,6 +232,7 @@
         .find_route(&host, request.uri().path())
         .cloned()
         .ok_or(RefusalReason::NoRoute)?;
+    let team = find_team(node, &view, &route, origin, &request)?;
     let max_concurrent = route.spec.max_concurrent;
     let permit = node
         .route_limiter
@@ -191,15 +241,59 @@
     let requested = headers::parsed_millis(request.headers(), &node.edge_headers.deadline_ms);
     let deadline = CallDeadline::for_call(&node.clock, route.spec.deadline(), requested);
     check_stop(node, &route, deadline, &request)?;
-    let call = prepare(node, view, Arc::clone(&route), deadline, request).await?;
-    let response = attempt::run(node, call).await;
+    let team_permit = match &team {
+        Some(team) => {
+            let request_id =
+                headers::text(request.headers(), &node.edge_headers.request_id).unwrap_or_default();
+            take_allowance(node, team, &route, deadline, request_id.to_owned()).await?
+        }
+        None => None,
+    };
+    let team_name = team.as_ref().map(|team| team.spec.name.clone());
+    let prepared = prepare(node, view, Arc::clone(&route), team, deadline, request).await;
+    let response = match prepared {
+        Ok(call) => attempt::run(node, call).await,
+        Err(reason) => {
+            if let Some(permit) = team_permit {
+                permit.give_back();
+            }
+            return Err(RefusedCall {
+                team: team_name,
+                ..reason.into()
+            });
+        }
+    };
+    let outcome = headers::parsed(response.headers(), &headers::OUTCOME);
+    if let Some(permit) = team_permit
+        && outcome == Some(CallOutcome::NotRun)
+    {
+        permit.give_back();
+    }
     Ok(ServedCall {
         response,
         route: Some(route.spec.name.to_string()),
+        team: team_name,
         permit: Some(permit),
     })
 }
 
+/// Takes room for a call from the allowance of its team.
+async fn take_allowance(
+    node: &NodeHandle,
+    team: &ProvenTeam,
+    route: &RouteEntry,
+    deadline: CallDeadline,
+    request_id: String,
+) -> Result<Option<TeamPermit>, RefusedCall> {
+    let admitted = admission::admit(node, &team.spec, &request_id, deadline).await;
+    admitted.map_err(|refusal| RefusedCall {
+        reason: refusal.reason,
+        route: Some(route.spec.name.to_string()),
+        team: Some(team.spec.name.clone()),
+        retry_after: Some(refusal.retry_after),
+    })
+}
+
 /// Refuses a call if this node is about to stop and may end before the call does, and
 /// logs the refusal.
 fn check_stop<B>(
@@ -300,6 +394,7 @@
     node: &NodeHandle,
     view: Arc<ServingView>,
     route: Arc<RouteEntry>,
+    team: Option<ProvenTeam>,
     deadline: CallDeadline,
     request: Request<NodeBody>,
 ) -> Result<RoutedCall, RefusalReason> {
@@ -318,6 +413,14 @@
         let name = node.edge_headers.caller_service.clone();
         headers::set(&mut parts.headers, name, service);
     }
+    if !view.config.teams.is_empty() {
+        parts.headers.remove(&node.edge_headers.team_key);
+        parts.headers.remove(&node.edge_headers.team);
+    }
+    if let Some(team) = &team {
+        let name = node.edge_headers.team.clone();
+        headers::set(&mut parts.headers, name, &team.spec.name);
+    }
     let is_idempotent = route
         .spec
         .idempotent
@@ -373,6 +476,7 @@
         view,
         route,
         service,
+        team,
         request_id,
         soft_deadline,
         deadline,
--- a/wisteriaturnd/src/ingress/pipeline.rs
+++ b/wisteriaturnd/src/ingress/pipeline.rs
@@ -27,6 +27,7 @@
 use crate::http::body::{NodeBody, boxed, empty};
 use crate::ingress::call;
 use crate::node::NodeHandle;
+use crate::team::identify::CallOrigin;
 
 /// Maximum number of early calls per connection.
 const MAX_EARLY_CALLS: usize = 8;
@@ -159,14 +160,16 @@
 #[derive(Debug, Clone)]
 pub struct CallPipeline {
     node: NodeHandle,
+    origin: CallOrigin,
     state: Arc<Mutex<PipelineState>>,
 }
 
 impl CallPipeline {
-    /// Returns the pipeline of a new connection.
-    pub fn new(node: NodeHandle) -> Self {
+    /// Returns the pipeline of a new connection from `origin`.
+    pub fn new(node: NodeHandle, origin: CallOrigin) -> Self {
         Self {
             node,
+            origin,
             state: Arc::default(),
         }
     }
@@ -188,7 +191,7 @@
                 let lost = || refusal(CallOutcome::Unknown, RefusalReason::GateLost);
                 (&mut early.task).await.unwrap_or_else(|_| lost())
             }
-            Some(_) | None => call::handle(&self.node, request.map(boxed)).await,
+            Some(_) | None => call::handle(&self.node, self.origin, request.map(boxed)).await,
         };
         lock(&self.state).answered += 1;
         response
@@ -215,9 +218,11 @@
     fn start_early(&self, index: u64, request: Request<()>) -> EarlyCall {
         let (method, uri) = (request.method().clone(), request.uri().clone());
         let headers = request.headers().clone();
-        let node = self.node.clone();
+        let (node, origin) = (self.node.clone(), self.origin);
         let task =
-            tokio::spawn(async move { call::handle(&node, request.map(|()| empty())).await });
+            tokio::spawn(
+                async move { call::handle(&node, origin, request.map(|()| empty())).await },
+            );
         EarlyCall {
             index,
             method,
--- a/wisteriaturnd/src/ingress/port.rs
+++ b/wisteriaturnd/src/ingress/port.rs
@@ -1,6 +1,6 @@
 //! The listener for callers, with one task per connection.
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::task::TaskTracker;
 
 use crate::http::listener::{PortLimits, accept_until_stopped, serve_http};
@@ -8,6 +8,7 @@
 use crate::ingress::call;
 use crate::ingress::pipeline::CallPipeline;
 use crate::node::NodeHandle;
+use crate::team::identify::CallOrigin;
 
 /// Maximum number of headers in a request.
 const MAX_HEADERS: usize = 100;
@@ -27,7 +28,7 @@
         tracker,
         limits,
         move |node, stream| async move {
-            let pipeline = CallPipeline::new(node.clone());
+            let pipeline = CallPipeline::new(node.clone(), origin_of(&stream));
             let scanner = pipeline.clone();
             let stream = ObservedStream::new(stream, move |bytes: &[u8]| {
                 scanner.look_ahead(bytes);
@@ -38,3 +39,14 @@
     )
     .await;
 }
+
+/// Returns where the calls on a connection come from. A target reaches its node from their
+/// common VM.
+fn origin_of(stream: &TcpStream) -> CallOrigin {
+    match (stream.peer_addr(), stream.local_addr()) {
+        (Ok(peer), Ok(local)) if peer.ip() == local.ip() || peer.ip().is_loopback() => {
+            CallOrigin::OwnVm
+        }
+        _ => CallOrigin::Caller,
+    }
+}
--- a/wisteriaturnd/src/ingress/selection.rs
+++ b/wisteriaturnd/src/ingress/selection.rs
@@ -84,6 +84,10 @@
         targets
     };
     let now = node.clock.now();
+    let allowed = node
+        .rollouts
+        .filter(service, &targets, !excluded.is_empty(), now);
+    let targets = allowed.map_or(targets, Arc::new);
     let requirements = requirements(node, call, now);
     let choice = node.load.with_service(service, |load| {
         let policy = &call.service.policy;
--- a/wisteriaturnd/src/lib.rs
+++ b/wisteriaturnd/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod mesh;
 pub mod metrics;
 pub mod node;
+pub mod rollout;
 pub mod settings;
 pub mod stream;
+pub mod team;
 pub mod trial;
--- a/wisteriaturnd/src/lifecycle.rs
+++ b/wisteriaturnd/src/lifecycle.rs
@@ -24,6 +24,8 @@
 use crate::mesh::prober;
 use crate::mesh::rumors;
 use crate::node::{NodeBuilder, NodeHandle, NodeStage};
+use crate::rollout::task;
+use crate::team::keep;
 
 /// Interval at which a stopping node checks whether its gates are empty.
 const EMPTY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -77,6 +79,8 @@
         if let Some(port) = node.directory.clone() {
             tokio::spawn(directory::directory_task(node.clone(), port));
         }
+        tokio::spawn(task::rollout_task(node.clone()));
+        tokio::spawn(keep::keeper_task(node.clone()));
         tokio::spawn(start_then_follow(node.clone()));
         log::info!(
             event = "started",
--- a/wisteriaturnd/src/mesh/gossip.rs
+++ b/wisteriaturnd/src/mesh/gossip.rs
@@ -20,6 +20,8 @@
     Datagram, MAX_DATAGRAM_BYTES, MAX_RUMOR_BYTES, NodeStatus, decode, encode,
 };
 
+use wisteriaturn::team::wallet::WalletQuestion;
+
 use crate::control::documents;
 use crate::control::store::FoldOutcome;
 use crate::gate::targets;
@@ -27,6 +29,7 @@
 use crate::mesh::rumors;
 use crate::metrics::TrafficKind;
 use crate::node::{NodeHandle, NodeState};
+use crate::team::keep;
 
 /// Size of the IPv4 and UDP headers of a datagram. They are included in the
 /// count of control bytes, which is what the network carries.
@@ -198,6 +201,33 @@
         Datagram::Departures { departures } => {
             targets::restore_departures(node, &departures).await;
         }
+        Datagram::AllowanceQuestion {
+            team,
+            number,
+            wanted,
+            is_first_silent,
+        } => {
+            let question = WalletQuestion {
+                number,
+                wanted,
+                repeats: 0,
+            };
+            keep::handle_question(node, from, team, question, is_first_silent).await;
+        }
+        Datagram::AllowanceAnswer {
+            team,
+            number,
+            grant,
+        } => keep::take_answer(node, &team, number, grant),
+        Datagram::RolloutEvidence {
+            service,
+            order,
+            evidence,
+        } => {
+            let now = node.clock.now();
+            node.rollouts
+                .record_evidence(&service, order, from, evidence, now);
+        }
         Datagram::Rumors { rumors } => rumors::receive(node, from, rumors, true).await,
     }
 }
--- a/wisteriaturnd/src/mesh/peer_server.rs
+++ b/wisteriaturnd/src/mesh/peer_server.rs
@@ -204,6 +204,7 @@
         seen_version,
         seen_incarnation,
         departures,
+        rollouts: node.rollouts.states(),
     }
 }
 
--- a/wisteriaturnd/src/mesh/rumors.rs
+++ b/wisteriaturnd/src/mesh/rumors.rs
@@ -19,6 +19,7 @@
 use crate::mesh::gossip::{fanout_peers, send};
 use crate::metrics::TrafficKind;
 use crate::node::{NodeHandle, NodeState};
+use crate::rollout::task;
 
 /// Merges rumors from another node and forwards those that were new to this
 /// node. `is_pushed` is `true` for rumors that were sent at once instead of
@@ -100,6 +101,7 @@
             loss,
         } => lock(&node.suspects).record_target_loss(fingerprint, target_node, loss, now),
         Rumor::Cleared { fingerprint } => lock(&node.suspects).clear(fingerprint),
+        Rumor::Rollout(state) => task::merge(node, state),
     }
 }
 
@@ -142,7 +144,7 @@
         .into_iter()
         .filter(|rumor| match rumor {
             Rumor::Member(record) => record.data_centre == *own_data_centre,
-            Rumor::Suspect { .. } | Rumor::Cleared { .. } => is_local_sender,
+            Rumor::Suspect { .. } | Rumor::Cleared { .. } | Rumor::Rollout(_) => is_local_sender,
         })
         .collect();
     if local.is_empty() {
--- a/wisteriaturnd/src/metrics.rs
+++ b/wisteriaturnd/src/metrics.rs
@@ -12,7 +12,9 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use wisteriaturn::ids::{ServiceName, TeamName};
 use wisteriaturn::invariant::{INVARIANTS, violations};
+use wisteriaturn::rollout::state::{ROLLOUT_PHASES, RolloutPhase};
 
 /// The labels of a finished call.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -38,6 +40,8 @@
     Claim,
     /// Queries for the number of nodes that hold a version.
     Convergence,
+    /// Questions to the keepers of teams' allowances, and their answers.
+    Allowance,
 }
 
 /// The distance that control traffic travels.
@@ -75,6 +79,20 @@
     rule: &'static str,
 }
 
+/// The labels of the decisions on a team's calls.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TeamLabels {
+    team: String,
+    decision: &'static str,
+}
+
+/// The labels of a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RolloutLabels {
+    service: String,
+    phase: &'static str,
+}
+
 /// All metrics of a node.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -112,6 +130,10 @@
     pub ejections: Counter,
     /// Crashes of a local target during a call.
     pub target_losses: Counter,
+    /// Decisions on calls of teams with an allowance.
+    team_calls: Family<TeamLabels, Counter>,
+    /// Phase of the roll-out of each service: 1 for the one in force, otherwise 0.
+    rollouts: Family<RolloutLabels, Gauge>,
     invariant_violations: Family<InvariantLabels, Gauge<u64, AtomicU64>>,
     log_bytes: Gauge<u64, AtomicU64>,
 }
@@ -166,6 +188,18 @@
             "Exchanges lost to a crash",
             target_losses.clone(),
         );
+        let team_calls = Family::default();
+        registry.register(
+            "team_calls",
+            "Decisions on calls of teams",
+            team_calls.clone(),
+        );
+        let rollouts = Family::default();
+        registry.register(
+            "rollout_phase",
+            "1 for the phase in force",
+            rollouts.clone(),
+        );
         let invariant_violations = Family::default();
         registry.register(
             "invariant_violations",
@@ -196,6 +230,8 @@
             relay,
             ejections,
             target_losses,
+            team_calls,
+            rollouts,
             invariant_violations,
         }
     }
@@ -214,6 +250,27 @@
         }
     }
 
+    /// Counts a decision on a call of a team. The configuration bounds the number of teams.
+    pub fn record_team(&self, team: &TeamName, decision: &'static str) {
+        let labels = TeamLabels {
+            team: team.to_string(),
+            decision,
+        };
+        self.team_calls.get_or_create(&labels).inc();
+    }
+
+    /// Sets the phase of the roll-out of a service.
+    pub fn record_rollout(&self, service: &ServiceName, phase: RolloutPhase) {
+        for other in ROLLOUT_PHASES {
+            let labels = RolloutLabels {
+                service: service.to_string(),
+                phase: other.name(),
+            };
+            let value = i64::from(other == phase);
+            self.rollouts.get_or_create(&labels).set(value);
+        }
+    }
+
     /// Adds control bytes that were sent.
     pub fn record_sent(&self, kind: TrafficKind, reach: TrafficReach, bytes: usize) {
         self.control_bytes
--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -34,6 +34,7 @@
 use wisteriaturn::member::table::MemberTable;
 use wisteriaturn::peer::message::NodeStatus;
 use wisteriaturn::retry::budget::RetryBudget;
+use wisteriaturn::rollout::port::RolloutPort;
 use wisteriaturn::route::choose::NodeLocation;
 use wisteriaturn::route::estimate::AnswerEstimator;
 use wisteriaturn::route::limit::RouteLimiter;
@@ -49,7 +50,9 @@
 use crate::http::pool::ConnectionPool;
 use crate::mesh::departures::DepartureRecords;
 use crate::metrics::{NodeMetrics, TrafficKind, TrafficReach};
+use crate::rollout::NodeRollouts;
 use crate::settings::NodeSettings;
+use crate::team::NodeTeams;
 
 /// The lifecycle stage of a node. The variants are ordered; a node never goes
 /// back to an earlier stage.
@@ -155,6 +158,10 @@
     pub link_monitor: Mutex<LinkMonitor>,
     /// The schedule of the node's stop, once it is about to stop.
     pub stop_schedule: OnceLock<StopSchedule>,
+    /// The teams on whose behalf callers make calls.
+    pub teams: NodeTeams,
+    /// The roll-outs that this node knows of.
+    pub rollouts: NodeRollouts,
     /// Number of target losses recorded at this gate.
     pub loss_count: AtomicU64,
     retry_budgets: Mutex<BTreeMap<ServiceName, Arc<RetryBudget>>>,
@@ -217,6 +224,7 @@
     directory: Option<DirectoryPort>,
     edge_headers: EdgeHeaders,
     addresses: AddressMap,
+    rollouts: Option<RolloutPort>,
 }
 
 impl NodeBuilder {
@@ -230,6 +238,7 @@
             directory: None,
             edge_headers: EdgeHeaders::standard(),
             addresses: AddressMap::identity(),
+            rollouts: None,
         }
     }
 
@@ -246,6 +255,12 @@
         self
     }
 
+    /// Serves roll-outs, whose records are kept through `rollouts`.
+    pub fn rollouts(mut self, rollouts: RolloutPort) -> Self {
+        self.rollouts = Some(rollouts);
+        self
+    }
+
     /// Sets the header names to use with callers and targets.
     pub fn edge_headers(mut self, edge_headers: EdgeHeaders) -> Self {
         self.edge_headers = edge_headers;
@@ -329,6 +344,9 @@
             is_anti_entropy_running: AtomicBool::new(false),
             link_monitor: Mutex::new(LinkMonitor::new(clock.now())),
             stop_schedule: OnceLock::new(),
+            // Higher than the number of any question of an earlier run.
+            teams: NodeTeams::new(settings.allowance, clock.unix_millis() << 20),
+            rollouts: NodeRollouts::new(self.rollouts, rand::random()),
             loss_count: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
             first_seen: Mutex::default(),
@@ -411,6 +429,11 @@
             view
         };
         let version = view.config.version;
+        let before = self.view.load();
+        if before.config.version != version {
+            let teams = &view.config.teams;
+            self.teams.record_change(&before.config.teams, teams);
+        }
         if let Err(error) = self.view.advance(view) {
             log::error!(event = "view-refused", error:% = error; "config");
             return;
@@ -518,6 +541,10 @@
     }
 
     /// Returns the number of live members, including this node.
+    pub(crate) fn live_members(&self) -> usize {
+        self.live_member_count()
+    }
+
     fn live_member_count(&self) -> usize {
         let table = lock(&self.table);
         table.iter().filter(|entry| entry.record.is_live()).count()
--- a/wisteriaturnd/src/settings/mod.rs
+++ b/wisteriaturnd/src/settings/mod.rs
@@ -16,9 +16,10 @@
 use wisteriaturn::ids::{DataCentre, LinkRate, RegionName, ServiceName};
 use wisteriaturn::peer::auth::MeshKeys;
 use wisteriaturn::retry::budget::RetryLimit;
+use wisteriaturn::team::keeper::AllowanceMargin;
 
 use crate::error::SettingsError;
-use crate::settings::raw::{RawLog, RawRetry, RawSettings, RawTuning};
+use crate::settings::raw::{RawAllowance, RawLog, RawRetry, RawSettings, RawTuning};
 
 pub mod raw;
 
@@ -58,6 +59,8 @@
     pub caller_service: Option<ServiceName>,
     /// Limit on the retries that all nodes together may add for one service.
     pub retry: Option<RetryLimit>,
+    /// Margin by which all nodes together may exceed a team's allowance.
+    pub allowance: Option<AllowanceMargin>,
     /// Settings of the program that embeds the node.
     pub extension: toml::Table,
     /// Timeouts, intervals and limits.
@@ -163,6 +166,10 @@
                 Some(retry) => Some(parse_retry_limit(retry)?),
                 None => None,
             },
+            allowance: match &raw.allowance {
+                Some(allowance) => Some(parse_margin(allowance)?),
+                None => None,
+            },
             extension: raw.extension,
             tuning,
             log_level: match &raw.log_level {
@@ -386,6 +393,26 @@
     })
 }
 
+fn parse_margin(raw: &RawAllowance) -> Result<AllowanceMargin, SettingsError> {
+    if !(0.0..=1.0).contains(&raw.overage) {
+        return Err(not_allowed("allowance.overage", raw.overage, "0 to 1"));
+    }
+    if !(0.0..=1e6).contains(&raw.slack) {
+        return Err(not_allowed("allowance.slack", raw.slack, "0 to 1000000"));
+    }
+    let window = parse_duration(&raw.window)
+        .filter(|window| !window.is_zero())
+        .ok_or_else(|| {
+            let allowed = "a duration such as 5s or 1500ms";
+            not_allowed("allowance.window", &raw.window, allowed)
+        })?;
+    Ok(AllowanceMargin {
+        window,
+        overage: raw.overage,
+        slack: raw.slack,
+    })
+}
+
 /// Longest duration that [`parse_duration`] accepts.
 const MAX_DURATION: Duration = Duration::from_secs(30 * 24 * 3600);
 
--- a/wisteriaturnd/src/settings/raw.rs
+++ b/wisteriaturnd/src/settings/raw.rs
@@ -32,6 +32,9 @@
     /// Limit on the retries that all nodes together may add.
     #[serde(default)]
     pub retry: Option<RawRetry>,
+    /// Margin of teams' allowances.
+    #[serde(default)]
+    pub allowance: Option<RawAllowance>,
     /// Settings of the program that embeds the node; that program validates
     /// them.
     #[serde(default)]
@@ -75,6 +78,18 @@
     pub window: String,
 }
 
+/// The `[allowance]` table: how far all nodes together may exceed a team's allowance.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawAllowance {
+    /// Length of the windows in which calls are counted, such as `5s`.
+    pub window: String,
+    /// Part of the allowance by which it may be exceeded, from 0 to 1.
+    pub overage: f64,
+    /// Calls by which it may be exceeded besides.
+    pub slack: f64,
+}
+
 /// The `[log]` table.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
