admin: explain a call by the decisions that it would meet

Cause: explain used two random choices for every route, knew no roll-out, team or size, and said nothing of the age of what it decided by.

Change: it works on copies of what the ingress knows, with the same decisions: chosen, next best, each input with its age, the team and its room, what would refuse the call. New reads show roll-outs and the allowances that a node keeps; the tool sends the hash of a key only. Change files may hold teams.

Ruled out: asking other nodes. What they know is not what this one decides by.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -23,6 +23,7 @@
 mod process_answers;
 mod process_config;
 mod process_endless;
+mod process_explain;
 mod process_input;
 mod process_limit;
 mod process_once;
--- a/wisteriaturn-cli/src/change_file.rs
+++ b/wisteriaturn-cli/src/change_file.rs
@@ -13,7 +13,7 @@
 use crate::error::CliError;
 
 /// Kinds of resources, in the order in which their operations are written.
-const RESOURCE_KINDS: [&str; 3] = ["service", "route", "policy"];
+const RESOURCE_KINDS: [&str; 4] = ["service", "route", "policy", "team"];
 
 /// Reads a change file, or standard input for `-`, and returns the body of the
 /// request that submits the change.
--- a/wisteriaturn-cli/src/commands.rs
+++ b/wisteriaturn-cli/src/commands.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::Method;
 use serde_json::{Map, Value, json};
+use wisteriaturn::team::key::TeamKey;
 
 use crate::api::{ApiReply, ApiRequest, NodeClient, error_message};
 use crate::change_file::read_change;
@@ -35,6 +36,8 @@
         CliCommand::Watch(options) => watch(client, options.from).await,
         CliCommand::Explain(options) => explain(client, format, options).await,
         CliCommand::Targets(_) => get_and_print(client, format, "/v1/targets").await,
+        CliCommand::Rollouts(_) => get_and_print(client, format, "/v1/rollouts").await,
+        CliCommand::Allowances(_) => get_and_print(client, format, "/v1/allowances").await,
         CliCommand::Members(_) => get_and_print(client, format, "/v1/members").await,
         CliCommand::Convergence(options) => {
             let query = options.version.map(|version| format!("?version={version}"));
@@ -192,11 +195,22 @@
     options: ExplainOptions,
 ) -> Result<(), CliError> {
     let path = options.path.ok_or_else(|| missing_argument("path"))?;
-    let query = form_urlencoded::Serializer::new(String::new())
+    let mut query = form_urlencoded::Serializer::new(String::new());
+    query
         .append_pair("path", &path)
         .append_pair("host", &options.host)
         .append_pair("method", &options.method)
-        .finish();
+        .append_pair("bytes", &options.bytes.to_string());
+    if let Some(key) = &options.key {
+        let key: TeamKey = key
+            .parse()
+            .map_err(|error| CliError::Usage(format!("--key: {error}")))?;
+        query.append_pair("key", &key.to_string());
+    }
+    if let Some(team) = &options.team {
+        query.append_pair("team", team);
+    }
+    let query = query.finish();
     get_and_print(client, format, &format!("/v1/explain?{query}")).await
 }
 
--- a/wisteriaturn-cli/src/options.rs
+++ b/wisteriaturn-cli/src/options.rs
@@ -68,6 +68,10 @@
     Explain(ExplainOptions),
     #[options(help = "show the targets of each service")]
     Targets(HelpOnlyOptions),
+    #[options(help = "show the roll-outs that the node knows of")]
+    Rollouts(HelpOnlyOptions),
+    #[options(help = "show the teams' allowances that the node keeps")]
+    Allowances(HelpOnlyOptions),
     #[options(help = "show the nodes of the mesh")]
     Members(HelpOnlyOptions),
     #[options(help = "show which nodes hold a version and which do not")]
@@ -143,6 +147,12 @@
     pub(crate) host: String,
     #[options(help = "method of the call", default = "GET")]
     pub(crate) method: String,
+    #[options(help = "key of the caller's team; only its hash is sent", meta = "KEY")]
+    pub(crate) key: Option<String>,
+    #[options(help = "name of the caller's team, in place of a key", meta = "TEAM")]
+    pub(crate) team: Option<String>,
+    #[options(help = "size of the request's body", default = "0", meta = "BYTES")]
+    pub(crate) bytes: u64,
 }
 
 #[derive(Debug, Options)]
--- a/wisteriaturnd/src/admin/mod.rs
+++ b/wisteriaturnd/src/admin/mod.rs
@@ -5,6 +5,7 @@
 //! [docs/API.md](../../../docs/API.md) lists all requests.
 
 pub mod change;
+pub mod explain;
 pub mod port;
 pub mod reply;
 pub mod view;
--- a/wisteriaturnd/src/admin/port.rs
+++ b/wisteriaturnd/src/admin/port.rs
@@ -24,6 +24,7 @@
 use wisteriaturn::ids::{ChangeId, ConfigVersion, ServiceName};
 
 use crate::admin::change::{RawChange, RawOperation, RawPrecondition, apply, find_report};
+use crate::admin::explain::{self, ExplainedCall};
 use crate::admin::reply::{error_reply, json_reply, text_reply};
 use crate::admin::view;
 use crate::gate::targets::{self, RegistrationError, TargetAnnouncement};
@@ -136,11 +137,23 @@
             view::convergence(node, version.unwrap_or(current)).await
         }
         ["v1", "explain"] => {
-            let host = query.get("host").unwrap_or_default();
-            let path = query.get("path").unwrap_or_else(|| "/".to_owned());
-            let method = query.get("method").unwrap_or_else(|| "GET".to_owned());
-            view::explain(node, &host, &path, &method)
+            let bytes = query.get("bytes").unwrap_or_else(|| "0".to_owned());
+            let Ok(bytes) = bytes.parse() else {
+                let error = format!("bytes = {bytes:?} is not a number of bytes");
+                return error_reply(StatusCode::BAD_REQUEST, error);
+            };
+            let call = ExplainedCall {
+                host: query.get("host").unwrap_or_default(),
+                path: query.get("path").unwrap_or_else(|| "/".to_owned()),
+                method: query.get("method").unwrap_or_else(|| "GET".to_owned()),
+                key: query.get("key"),
+                team: query.get("team"),
+                bytes,
+            };
+            explain::explain(node, &call)
         }
+        ["v1", "rollouts"] => explain::rollouts(node),
+        ["v1", "allowances"] => explain::allowances(node),
         ["v1", kind] => match kind.parse::<ResourceKind>() {
             Ok(kind) => view::resources(node, Some(&kind.to_string())),
             Err(_) => not_found(),
--- a/wisteriaturnd/src/admin/view.rs
+++ b/wisteriaturnd/src/admin/view.rs
@@ -1,5 +1,5 @@
 //! Read requests of the admin port: the configuration in force, members,
-//! targets, convergence across the mesh, and how a call would be routed.
+//! targets, and convergence across the mesh.
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -8,16 +8,14 @@
 use futures_util::stream;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
-use hyper::{Method, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use serde::Serialize;
 use serde_json::{Value, json};
 use tokio::time::timeout;
 use wisteriaturn::clock::lock;
 use wisteriaturn::config::resource::ResourceKey;
-use wisteriaturn::config::view::RouteEntry;
 use wisteriaturn::ids::{ConfigVersion, DataCentre, NodeAddress};
 use wisteriaturn::peer::message::{HolderReport, PeerAnswer, PeerRequest};
-use wisteriaturn::route::choose::choose_target;
 
 use crate::admin::change::find_report;
 use crate::admin::reply::{error_reply, json_reply, json_reply_with_etag};
@@ -150,58 +148,6 @@
     json_reply(StatusCode::OK, &services)
 }
 
-/// Returns which target a call would be sent to now, and the verdict on every
-/// other candidate.
-pub fn explain(node: &NodeState, host: &str, path: &str, method: &str) -> Response<NodeBody> {
-    let Ok(method) = method.parse::<Method>() else {
-        let error = format!("method = {method:?} is not a valid HTTP method");
-        return error_reply(StatusCode::BAD_REQUEST, error);
-    };
-    let view = node.view.load();
-    let Some(route) = view.config.find_route(host, path) else {
-        let error = format!("no route matches host {host:?} and path {path:?}");
-        return error_reply(StatusCode::NOT_FOUND, error);
-    };
-    let services: Vec<Value> = route
-        .services
-        .iter()
-        .map(|(service, weight)| {
-            let name = &service.spec.name;
-            let targets = view.targets(name);
-            // Works on a copy, because `choose_target` updates the maximum distance,
-            // which real calls use.
-            let mut load = lock(&node.load.service(name)).clone();
-            let choice = choose_target(
-                &node.location,
-                &targets,
-                &service.policy,
-                &mut load,
-                &[],
-                node.clock.now(),
-                &mut rand::rng(),
-            );
-            json!({ "service": name, "weight": weight, "reach": load.max_distance,
-                "candidates": choice.candidates })
-        })
-        .collect();
-    let reply = json!({
-        "version": view.config.version,
-        "route": route.spec.name,
-        "class": route.spec.class,
-        "deadline_ms": route.spec.deadline_ms,
-        "idempotent": is_idempotent(route, &method),
-        "services": services,
-    });
-    json_reply(StatusCode::OK, &reply)
-}
-
-fn is_idempotent(route: &RouteEntry, method: &Method) -> bool {
-    route
-        .spec
-        .idempotent
-        .unwrap_or_else(|| method.is_idempotent())
-}
-
 /// Returns which nodes hold a version, after querying a relay of every other
 /// data centre. The nodes of a data centre that does not respond count as
 /// laggards.
