--- a/src/gate/pace.rs
+++ b/src/gate/pace.rs
@@ -10,8 +10,8 @@
 //! refused before it runs.
 //!
 //! The trade-off: the answer is held in memory meanwhile, within the bound of all held
-//! bodies; beyond it, answers are sent as they come. Nothing is sent later than it would
-//! have arrived otherwise, since the link is kept busy.
+//! bodies; beyond it, answers are sent as they come. A fifth of the link is left for what is
+//! not paced.
 
 use std::time::{Duration, Instant};
 
@@ -20,9 +20,10 @@
 /// Size in bytes from which answers are paced.
 pub const MIN_PACED_BYTES: u64 = 16 * 1024;
 
-/// Part of the time that an answer takes on the link after which the next one is sent, so
-/// that the link is never idle.
-const OVERLAP_FACTOR: f64 = 0.85;
+/// Time for which an answer keeps the next one waiting, as a multiple of its time on the
+/// link. The rest of the link is for small answers and for what the VM sends besides; with
+/// nothing left for these, they would queue for as long as the overload lasts.
+const TURN_FACTOR: f64 = 1.25;
 
 /// When the link of a VM is free for another large answer.
 #[derive(Debug, Clone, Copy, Default)]
@@ -35,7 +36,7 @@
     /// should be sent.
     pub fn take(&mut self, link: LinkRate, bytes: u64, now: Instant) -> Duration {
         let wait = self.wait(now);
-        let time = link.transfer_time(bytes as f64).mul_f64(OVERLAP_FACTOR);
+        let time = link.transfer_time(bytes as f64).mul_f64(TURN_FACTOR);
         self.free_at = Some(now + wait + time);
         wait
     }
