rollout: give a version up whose order is replaced

An order for another version, or for the one that serves, replaced the record of a version that had been halted or given up; three seconds later its targets counted as settled and got calls. Shown by a test, which fails without the change (v2 got calls after 10 s).

Ruled out: keeping every order in the log; the operator's topic keeps only the newest.

--- a/src/rollout/board.rs
+++ b/src/rollout/board.rs
@@ -76,6 +76,8 @@
     first_seen: BTreeMap<TargetVersion, Instant>,
     /// Versions that served before any order named them.
     settled: BTreeSet<TargetVersion>,
+    /// Versions whose order was replaced by another one before they had all calls.
+    given_up: BTreeSet<TargetVersion>,
     since: Option<Instant>,
 }
 
@@ -115,8 +117,17 @@
                 known.state = state;
                 true
             }
-            Some(_) | None => {
+            known => {
+                let replaced = known
+                    .filter(|known| known.state.phase != RolloutPhase::Completed)
+                    .map(|known| known.state.order.version.clone());
                 let versions = self.versions.entry(service.clone()).or_default();
+                if let Some(version) = replaced
+                    && !versions.settled.contains(&version)
+                {
+                    versions.given_up.insert(version);
+                }
+                versions.given_up.remove(&state.order.version);
                 // Targets of the version may have been seen before its order.
                 if versions.settled.len() > 1 {
                     versions.settled.remove(&state.order.version);
@@ -211,7 +222,8 @@
         for version in targets.iter().filter_map(|target| target.version.as_ref()) {
             let first_seen = *seen.first_seen.entry(version.clone()).or_insert(now);
             let is_held = now.saturating_duration_since(first_seen) < HOLD_TIME;
-            if ordered != Some(version) && (is_first_sight || !is_held) {
+            let may_settle = ordered != Some(version) && !seen.given_up.contains(version);
+            if may_settle && (is_first_sight || !is_held) {
                 seen.settled.insert(version.clone());
             }
         }
@@ -239,15 +251,24 @@
         };
         let ordered = rollout.state.order.version.clone();
         let is_ordered = |target: &&TargetEntry| target.version.as_ref() == Some(&ordered);
-        let (new, old): (Vec<_>, Vec<_>) = targets.iter().partition(is_ordered);
+        let is_given_up = |target: &&TargetEntry| {
+            let version = target.version.as_ref();
+            version.is_some_and(|version| seen.given_up.contains(version))
+        };
+        let (new, old): (Vec<_>, Vec<_>) = targets
+            .iter()
+            .filter(|target| !is_given_up(target))
+            .partition(is_ordered);
         let old: Vec<_> = old.into_iter().cloned().collect();
         match rollout.state.phase {
             // An order for the version that serves already changes nothing.
-            RolloutPhase::Trial | RolloutPhase::Shifted if seen.settled.contains(&ordered) => None,
+            RolloutPhase::Trial | RolloutPhase::Shifted if seen.settled.contains(&ordered) => {
+                without_held(seen, targets)
+            }
             RolloutPhase::RolledBack | RolloutPhase::Halted => Some(old),
             RolloutPhase::Completed | RolloutPhase::Closing => {
                 if new.is_empty() {
-                    return None;
+                    return Some(old);
                 }
                 Some(new.into_iter().cloned().collect())
             }
@@ -300,7 +321,11 @@
         let version = target.version.as_ref();
         version.is_none_or(|version| seen.settled.contains(version))
     };
-    if targets.iter().all(is_settled) || !targets.iter().any(is_settled) {
+    let has_given_up = targets
+        .iter()
+        .filter_map(|target| target.version.as_ref())
+        .any(|version| seen.given_up.contains(version));
+    if targets.iter().all(is_settled) || !(has_given_up || targets.iter().any(is_settled)) {
         return None;
     }
     Some(
--- a/tests/integration/rollout_rules.rs
+++ b/tests/integration/rollout_rules.rs
@@ -239,6 +239,39 @@
     assert_eq!(allowed.map(|allowed| allowed.len()), Some(0));
 }
 
+/// An operator who orders another version, or the one that serves, has given the first one
+/// up: it gets no call, however long its targets stay.
+#[yare::parameterized(
+    the_one_that_serves = { "v1", 10 },
+    a_third_one = { "v3", 10 },
+)]
+fn a_version_whose_order_was_replaced_gets_no_call(next: &str, allowed_targets: usize) {
+    let now = Instant::now();
+    for phase in [
+        RolloutPhase::Trial,
+        RolloutPhase::Halted,
+        RolloutPhase::RolledBack,
+    ] {
+        let mut board = settled_board(now);
+        board.merge(state(1, phase, 40, 1), now);
+        let mut later_order = order(2);
+        later_order.version = version(next);
+        board.merge_order(later_order, node(1), now);
+        for seconds in [0, 10] {
+            let later = now + Duration::from_secs(seconds);
+            let allowed = board
+                .filter(&service(), &targets(later), false, later)
+                .expect("a limit");
+            assert_eq!(
+                count_version(&allowed, "v2"),
+                0,
+                "{phase} after {seconds} s"
+            );
+            assert_eq!(allowed.len(), allowed_targets);
+        }
+    }
+}
+
 #[test]
 fn old_gates_close_only_when_the_new_version_has_all_calls() {
     let now = Instant::now();
