gate: answers without a length take turns as well

Cause: an answer in chunks has no length until it is read, and was sent beside the others as if it were small.

Change: it is read whole first.

--- a/wisteriaturnd/src/gate/pace.rs
+++ b/wisteriaturnd/src/gate/pace.rs
@@ -47,15 +47,15 @@
     call: &GateCall,
     response: Response<NodeBody>,
 ) -> Response<NodeBody> {
-    let bytes = response.body().size_hint().lower();
+    let hint = response.body().size_hint();
     let outcome = headers::parsed(response.headers(), &headers::OUTCOME);
     if !node.settings.placement.paced_answers || outcome != Some(CallOutcome::Done) {
         return response;
     }
-    if let Some(route) = &call.route {
-        node.sent_estimates.record(route, bytes, Duration::ZERO);
-    }
-    if bytes < MIN_PACED_BYTES {
+    // An answer without a length is only known to be large when it has been read.
+    let is_small = hint.upper().is_some_and(|bytes| bytes < MIN_PACED_BYTES);
+    if is_small {
+        record_size(node, call, hint.lower());
         return response;
     }
     let (limit, reservation) = buffer_limit(node, response.body());
@@ -63,8 +63,8 @@
         return response;
     };
     let (parts, body) = response.into_parts();
-    let body = match BufferedBody::read(body, limit).await {
-        Ok(mut read) => read.take_for_attempt().unwrap_or_else(empty),
+    let mut read = match BufferedBody::read(body, limit).await {
+        Ok(read) => read,
         Err(error) => {
             log::warn!(
                 event = "answer-lost",
@@ -76,17 +76,29 @@
             return refusal(CallOutcome::Unknown, RefusalReason::TargetLost);
         }
     };
-    let now = node.clock.now();
-    let wait = lock(&node.answer_link).take(node.settings.link, bytes, now);
-    tokio::time::sleep(wait).await;
-    log::debug!(
-        event = "answer-paced",
-        request:% = call.loggable_request_id(),
-        service:% = call.service,
-        bytes = bytes,
-        waited_us = wait.as_micros() as u64;
-        "gate"
-    );
+    let bytes = read.prefix().len() as u64;
+    record_size(node, call, bytes);
+    if bytes >= MIN_PACED_BYTES {
+        let now = node.clock.now();
+        let wait = lock(&node.answer_link).take(node.settings.link, bytes, now);
+        log::debug!(
+            event = "answer-paced",
+            request:% = call.loggable_request_id(),
+            service:% = call.service,
+            bytes = bytes,
+            wait_us = wait.as_micros() as u64;
+            "gate"
+        );
+        tokio::time::sleep(wait).await;
+    }
+    let body = read.take_for_attempt().unwrap_or_else(empty);
     let body = boxed(OnEndBody::new(body, move |_| drop(reservation)));
     Response::from_parts(parts, body)
 }
+
+/// Records the size of an answer for the calls of its route that come later.
+fn record_size(node: &NodeHandle, call: &GateCall, bytes: u64) {
+    if let Some(route) = &call.route {
+        node.sent_estimates.record(route, bytes, Duration::ZERO);
+    }
+}
