--- a/wisteriaturnd/src/admin/explain.rs
+++ b/wisteriaturnd/src/admin/explain.rs
@@ -198,7 +198,7 @@
                     .map(|time| time.as_millis() as u64)
             );
             value["failure_rate"] = json!(known.failure_rate(now));
-            value["target_version"] = json!(target.version);
+            value["software_version"] = json!(target.version);
             value
         })
         .collect();
