--- a/wisteriaturnd/src/node.rs
+++ b/wisteriaturnd/src/node.rs
@@ -548,11 +548,7 @@
     }
 
     /// Returns the number of live members, including this node.
-    pub(crate) fn live_members(&self) -> usize {
-        self.live_member_count()
-    }
-
-    fn live_member_count(&self) -> usize {
+    pub(crate) fn live_member_count(&self) -> usize {
         let table = lock(&self.table);
         table.iter().filter(|entry| entry.record.is_live()).count()
     }
--- a/wisteriaturnd/src/rollout/lead.rs
+++ b/wisteriaturnd/src/rollout/lead.rs
@@ -1,6 +1,6 @@
 //! What the node that leads a roll-out has been told, and what it derives from that.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use wisteriaturn::ids::{NodeAddress, Offset, TargetVersion};
@@ -18,7 +18,7 @@
 pub struct LeaderNotes {
     order: Offset,
     table: EvidenceTable,
-    heard: std::collections::BTreeMap<NodeAddress, Instant>,
+    heard: BTreeMap<NodeAddress, Instant>,
     history: VecDeque<(Instant, EvidenceTable)>,
     /// Whether a record is being written to the log.
     pub is_writing: bool,
@@ -36,7 +36,7 @@
         Self {
             order,
             table: EvidenceTable::default(),
-            heard: std::collections::BTreeMap::new(),
+            heard: BTreeMap::new(),
             history: VecDeque::new(),
             is_writing: false,
             is_recorded: false,
--- a/wisteriaturnd/src/rollout/mod.rs
+++ b/wisteriaturnd/src/rollout/mod.rs
@@ -17,6 +17,7 @@
 use crate::rollout::lead::LeaderNotes;
 
 pub mod lead;
+mod record;
 pub mod task;
 
 /// The roll-outs of a node. Where the settings call for none, it does nothing.
--- a/wisteriaturnd/src/rollout/task.rs
+++ b/wisteriaturnd/src/rollout/task.rs
@@ -25,13 +25,14 @@
 use crate::metrics::TrafficKind;
 use crate::node::NodeHandle;
 use crate::rollout::lead::LeaderNotes;
+use crate::rollout::record;
 
 /// Interval at which gates report and the leading node decides.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Interval at which the leading node tells the others that it still leads, well below the
 /// time after which a version on trial rests.
-const BEAT_INTERVAL: Duration = Duration::from_millis(500);
+pub(crate) const BEAT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time without a message of the leading node after which the next in line takes over;
 /// the one after it waits once more as long.
@@ -47,19 +48,8 @@
 /// serve that one.
 const MAX_FAILED_WRITES: u32 = 2;
 
-/// Time for which the end of a roll-out is repeated to nodes that may have missed it.
-const END_REPEATED_FOR: Duration = Duration::from_secs(10);
-
-/// Time after which the first in line tells the operator of an end, in case the node that
-/// led has ended before it did. By then, nodes that were started together agree on who that
-/// is.
-const END_TOLD_AFTER: Duration = Duration::from_secs(3);
-
 /// Pause after a record could not be written, before jitter.
-const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(400);
-
-/// Number of attempts to tell the operator.
-const MAX_TELL_ATTEMPTS: usize = 20;
+pub(crate) const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(400);
 
 /// Reports and leads for as long as the node runs, if the settings call for roll-outs.
 pub async fn rollout_task(node: NodeHandle) {
@@ -152,7 +142,7 @@
     is_new
 }
 
-fn merge_record(node: &NodeHandle, record: &RolloutRecord) {
+pub(crate) fn merge_record(node: &NodeHandle, record: &RolloutRecord) {
     let service = &record.order.service;
     let before = phase_of(node, service);
     let (now, unix_ms) = (node.clock.now(), node.clock.unix_millis());
@@ -197,7 +187,7 @@
     );
 }
 
-async fn spread(node: &NodeHandle, state: RolloutState) {
+pub(crate) async fn spread(node: &NodeHandle, state: RolloutState) {
     rumors::spread(node, Rumor::Rollout(state)).await;
 }
 
@@ -244,7 +234,7 @@
 }
 
 /// Returns the nodes that may lead a roll-out, the first in line first.
-fn line(node: &NodeHandle, service: &ServiceName) -> Vec<NodeAddress> {
+pub(crate) fn line(node: &NodeHandle, service: &ServiceName) -> Vec<NodeAddress> {
     let table = lock(&node.table);
     let members: Vec<&MemberRecord> = table
         .iter()
@@ -290,7 +280,7 @@
         return;
     };
     if known.state.phase.is_final() {
-        repeat_end(node, &known, now).await;
+        record::repeat_end(node, &known, now).await;
         return;
     }
     if !is_able || !is_leading(node, &known, now) {
@@ -314,7 +304,7 @@
     };
     if needs_start || (verdict.is_some() && !notes.is_writing) {
         notes.is_writing = true;
-        tokio::spawn(write(node.clone(), order.clone(), verdict));
+        tokio::spawn(record::write(node.clone(), order.clone(), verdict));
     }
     let is_beat_due = notes
         .told_at
@@ -425,125 +415,3 @@
         "rollout"
     );
 }
-
-/// Records the start or the end of a roll-out in the log, and tells the operator what
-/// stands there then.
-async fn write(node: NodeHandle, order: RolloutOrder, verdict: Option<RolloutVerdict>) {
-    let Some(port) = node.rollouts.port.clone() else {
-        return;
-    };
-    let elapsed = node.rollouts.with_board(|board| {
-        let known = board.find(&order)?;
-        Some(known.elapsed(node.clock.now()))
-    });
-    let elapsed_ms = elapsed.unwrap_or_default().as_millis() as u64;
-    let record = RolloutRecord {
-        started_unix_ms: node.clock.unix_millis().saturating_sub(elapsed_ms),
-        order: order.clone(),
-        verdict,
-    };
-    match port.write(record).await {
-        Ok(held) if held.order.offset == order.offset => {
-            merge_record(&node, &held);
-            node.rollouts.finish_write(&order.service, true);
-            if let Some(state) = node
-                .rollouts
-                .with_board(|board| board.find(&order).map(|known| known.state.clone()))
-                && state.phase.is_final()
-            {
-                spread(&node, state).await;
-            }
-            tell(&node, held).await;
-        }
-        Ok(held) => {
-            log::warn!(
-                event = "rollout-replaced",
-                service:% = order.service,
-                order:% = order.offset,
-                held:% = held.order.offset;
-                "rollout"
-            );
-            node.rollouts.finish_write(&order.service, false);
-        }
-        Err(error) => {
-            log::warn!(
-                event = "rollout-unrecorded",
-                service:% = order.service,
-                verdict:? = verdict,
-                error:% = error;
-                "rollout"
-            );
-            tokio::time::sleep(jittered(WRITE_RETRY_PAUSE)).await;
-            node.rollouts.finish_write(&order.service, false);
-        }
-    }
-}
-
-/// Tells the operator what the log has recorded, until that succeeds or a later record has
-/// taken its place.
-async fn tell(node: &NodeHandle, record: RolloutRecord) {
-    let Some(port) = node.rollouts.port.clone() else {
-        return;
-    };
-    for _ in 0..MAX_TELL_ATTEMPTS {
-        let is_outdated = node.rollouts.with_board(|board| {
-            let known = board.find(&record.order);
-            known.is_none_or(|known| record.verdict.is_none() && known.state.phase.is_final())
-        });
-        if is_outdated {
-            return;
-        }
-        match port.tell(record.clone()).await {
-            Ok(()) => {
-                log::info!(
-                    event = "rollout-told",
-                    service:% = record.order.service,
-                    version:% = record.order.version,
-                    verdict:? = record.verdict;
-                    "rollout"
-                );
-                return;
-            }
-            Err(error) => {
-                log::warn!(event = "rollout-untold", service:% = record.order.service, error:% = error; "rollout");
-                tokio::time::sleep(jittered(WRITE_RETRY_PAUSE)).await;
-            }
-        }
-    }
-}
-
-/// Repeats how a roll-out ended for a while, if this node is the first in line. One that
-/// has only just been started also tells the operator, since the node that led may have
-/// ended before it did.
-async fn repeat_end(node: &NodeHandle, known: &ServiceRollout, now: Instant) {
-    let is_recent = now.saturating_duration_since(known.phase_since) < END_REPEATED_FOR;
-    let service = &known.state.order.service;
-    if !is_recent || line(node, service).first() != Some(&node.address()) {
-        return;
-    }
-    let mut notes = node.rollouts.take_notes(service, known.state.order.offset);
-    let is_due = notes
-        .told_at
-        .is_none_or(|told_at| now.saturating_duration_since(told_at) >= BEAT_INTERVAL * 2);
-    let is_overdue = now.saturating_duration_since(known.phase_since) >= END_TOLD_AFTER;
-    if is_overdue && !notes.is_recorded && !notes.is_writing {
-        notes.is_writing = true;
-        let verdict = match known.state.phase {
-            RolloutPhase::Completed => RolloutVerdict::Completed,
-            _ => RolloutVerdict::RolledBack,
-        };
-        let order = known.state.order.clone();
-        tokio::spawn(write(node.clone(), order, Some(verdict)));
-    }
-    if is_due {
-        notes.told_at = Some(now);
-    }
-    node.rollouts.put_notes(service, notes);
-    if is_due {
-        let mut state = known.state.clone();
-        state.beat += 1;
-        if merge(node, state.clone()) {
-            spread(node, state).await;
-        }
-    }
-}
--- a/wisteriaturnd/src/team/admission.rs
+++ b/wisteriaturnd/src/team/admission.rs
@@ -11,6 +11,7 @@
 use wisteriaturn::retry::deadline::CallDeadline;
 use wisteriaturn::team::wallet::{ANSWER_TIMEOUT, WalletDecision};
 
+use crate::logs::Sanitized;
 use crate::node::NodeHandle;
 use crate::team::{WalletEntry, keep};
 
@@ -134,7 +135,7 @@
         return false;
     }
     let is_heard = lock(&node.link_monitor).was_heard_within(LOST_AFTER, now);
-    let members = node.live_members();
+    let members = node.live_member_count();
     let is_taken = wallet.try_take_alone(team.rate_per_s, members, !is_heard, now);
     if is_taken {
         wallet.leave();
@@ -157,7 +158,7 @@
     let answer_age = lock(&entry.wallet).answer_age(now);
     log::info!(
         event = "team-refusal",
-        request:% = crate::logs::Sanitized(request_id),
+        request:% = Sanitized(request_id),
         team:% = team.name,
         reason = reason.name(),
         rate:% = team.rate_per_s,
--- a/wisteriaturnd/src/team/identify.rs
+++ b/wisteriaturnd/src/team/identify.rs
@@ -106,10 +106,6 @@
     let is_fresh = answered_at
         .is_some_and(|answered_at| now.saturating_duration_since(answered_at) < MAX_CERTAIN_AGE);
     let is_told = lock(&node.source.reader_contact).is_recent(now);
-    let held = view_version(node);
+    let held = node.view.load().config.version;
     (is_fresh || is_told) && !node.source.is_missing(held)
 }
-
-fn view_version(node: &NodeHandle) -> wisteriaturn::ids::ConfigVersion {
-    node.view.load().config.version
-}
