team: a caller who leaves while its call waits is not asked for any longer

Cause: on reading. A call that waits for a keeper was counted out only when it was decided; one whose caller left before stayed in the count, so its node asked for a call more each time, which lapsed, and the team lost it.

Change: the count ends with the call.

--- a/src/team/wallet.rs
+++ b/src/team/wallet.rs
@@ -243,6 +243,11 @@
             .fold(0, |sum: u16, (calls, _)| sum.saturating_add(*calls))
     }
 
+    /// Returns the calls that wait for a keeper's answer.
+    pub fn waiting(&self) -> u16 {
+        self.waiting
+    }
+
     /// Returns until when calls are refused because the team has no room.
     pub fn no_room_until(&self) -> Option<Instant> {
         self.no_room_until
--- a/wisteriaturnd/src/admin/explain.rs
+++ b/wisteriaturnd/src/admin/explain.rs
@@ -129,6 +129,7 @@
         "rate_per_s": spec.rate_per_s.per_second(),
         "burst": spec.burst,
         "held_calls": wallet.map(|wallet| wallet.held_calls),
+        "waiting_calls": wallet.map(|wallet| wallet.waiting_calls),
         "answer_age_ms": wallet.map(|wallet| wallet.answer_age.as_millis() as u64),
         "refused_by": refused_by,
     }))
--- a/wisteriaturnd/src/team/admission.rs
+++ b/wisteriaturnd/src/team/admission.rs
@@ -38,6 +38,21 @@
     pub retry_after: Duration,
 }
 
+/// A call that waits for a keeper's answer. Its caller may leave meanwhile, and then it must
+/// not be asked for any longer.
+struct WaitingCall {
+    entry: Arc<WalletEntry>,
+    is_waiting: bool,
+}
+
+impl Drop for WaitingCall {
+    fn drop(&mut self) {
+        if self.is_waiting {
+            lock(&self.entry.wallet).leave();
+        }
+    }
+}
+
 /// A call that a team had room for.
 #[derive(Debug)]
 pub struct TeamPermit {
@@ -74,8 +89,13 @@
     let arrival = node.clock.now();
     let entry = node.teams.wallet(&team.name, arrival);
     let mut decision = lock(&entry.wallet).arrive(arrival);
+    let mut waiting = WaitingCall {
+        entry: Arc::clone(&entry),
+        is_waiting: decision == WalletDecision::Wait,
+    };
     // While answers are lost, waiting for one would most often be in vain.
     if decision == WalletDecision::Wait && try_take_alone(node, team, &entry, true) {
+        waiting.is_waiting = false;
         return Ok(Some(TeamPermit {
             entry,
             valid_until: None,
@@ -98,6 +118,8 @@
         decision = lock(&entry.wallet).retry(node.clock.now());
     }
     let now = node.clock.now();
+    // The wallet has counted it out if it decided.
+    waiting.is_waiting &= decision == WalletDecision::Wait;
     match decision {
         WalletDecision::Take(valid_until) => {
             keep::ask_if_due(node, team, &entry).await;
@@ -113,12 +135,12 @@
         }
         WalletDecision::Wait => {
             if try_take_alone(node, team, &entry, false) {
+                waiting.is_waiting = false;
                 return Ok(Some(TeamPermit {
                     entry,
                     valid_until: None,
                 }));
             }
-            lock(&entry.wallet).leave();
             let reason = RefusalReason::AllowanceUnknown;
             let room_in = Duration::ZERO;
             Err(refuse(node, team, request_id, &entry, reason, room_in, now))
--- a/wisteriaturnd/src/team/mod.rs
+++ b/wisteriaturnd/src/team/mod.rs
@@ -149,6 +149,7 @@
         let mut wallet = lock(&entry.wallet);
         Some(WalletSummary {
             held_calls: wallet.held(now),
+            waiting_calls: wallet.waiting(),
             refused_for: wallet
                 .no_room_until()
                 .map(|until| until.saturating_duration_since(now))
@@ -173,6 +174,8 @@
 pub struct WalletSummary {
     /// Calls that the node may make without asking.
     pub held_calls: u16,
+    /// Calls that wait for a keeper's answer.
+    pub waiting_calls: u16,
     /// Time for which it refuses calls because the team has no room.
     pub refused_for: Duration,
     /// Time since the keeper last answered.
