gate: short calls keep their place in a burst of long ones

Change: where the settings say so, a call that runs less than half as long as the mean of its target is in time until its deadline.

--- a/src/gate/slots.rs
+++ b/src/gate/slots.rs
@@ -46,6 +46,9 @@
 /// nearly all calls are barely admitted.
 pub const LIKELY_RUN_FACTOR: f64 = 1.3;
 
+/// How many times longer the mean run must be for a call to count as short.
+const SHORT_RUN_DIVISOR: u32 = 2;
+
 /// Divisor of the moving average of run times: a new sample is weighted with
 /// 1 / `MEAN_RUN_TIME_DIVISOR`.
 const MEAN_RUN_TIME_DIVISOR: u32 = 8;
@@ -101,6 +104,24 @@
 }
 
 impl SlotRequest {
+    /// Returns the request of a call that takes far less time than the others of its target.
+    /// It stays in time until its deadline, and so keeps its place.
+    ///
+    /// It is designed for lookups that runs elsewhere wait for, while a burst of long calls
+    /// fills their target. Their soft deadline is over after a few of these; served as late
+    /// ones, most of them fail, and with each a run that has held a slot. Serving them first
+    /// costs the long calls little.
+    pub fn if_short(self, mean_run_time: Duration) -> Self {
+        let is_short = self.expected_run_time * SHORT_RUN_DIVISOR <= mean_run_time;
+        if !is_short || self.expected_run_time.is_zero() {
+            return self;
+        }
+        Self {
+            soft_deadline: self.soft_deadline.max(self.deadline),
+            ..self
+        }
+    }
+
     /// Returns `true` if a call that starts at `start` will probably meet its soft
     /// deadline.
     fn is_in_time(&self, start: Instant) -> bool {
--- a/tests/integration/even_load_rules.rs
+++ b/tests/integration/even_load_rules.rs
@@ -176,6 +176,65 @@
     future.as_mut().poll(&mut context).is_pending()
 }
 
+/// A target that is full of long calls, and lookups with a short soft deadline that come in
+/// between: how many of them are served, with and without the decision, and how many of
+/// the long ones.
+#[test]
+fn short_calls_keep_their_place_in_a_burst_of_long_ones() {
+    let play = |keeps_place: bool| {
+        let clock = ManualClock::new();
+        let gate = SlotGate::new(2, clock.clone());
+        let start = clock.now();
+        let millis = Duration::from_millis;
+        let (mut waiting, mut running) = (Vec::new(), Vec::new());
+        let mut served = [0, 0];
+        for tick in 0..400_u32 {
+            let now = start + millis(5) * tick;
+            clock.advance(now - clock.now());
+            running.retain(|(ends_at, _)| *ends_at > now);
+            // The long calls alone ask for a fifth more than there is.
+            let arrivals = [(tick % 9 == 0, 0), (tick % 8 == 0, 1)];
+            for (_, kind) in arrivals.into_iter().filter(|(arrives, _)| *arrives) {
+                let (run, soft, deadline) = [(110, 600, 1_200), (22, 80, 250)][kind];
+                let request = SlotRequest {
+                    rank: QueueRank::new(CallClass::Interactive, CallPriority(1)),
+                    soft_deadline: now + millis(soft),
+                    deadline: now + millis(deadline),
+                    expected_run_time: millis(run),
+                    max_wait: Duration::MAX,
+                };
+                let request = if keeps_place {
+                    request.if_short(gate.load().mean_run_time)
+                } else {
+                    request
+                };
+                let gate = gate.clone();
+                let slot = Box::pin(async move { gate.acquire_for(request).await });
+                waiting.push((kind, run, slot));
+            }
+            let mut index = 0;
+            while index < waiting.len() {
+                let mut context = std::task::Context::from_waker(std::task::Waker::noop());
+                match waiting[index].2.as_mut().poll(&mut context) {
+                    std::task::Poll::Ready(outcome) => {
+                        let (kind, run, _) = waiting.remove(index);
+                        if let Ok(permit) = outcome {
+                            served[kind] += 1;
+                            running.push((now + millis(run), permit));
+                        }
+                    }
+                    std::task::Poll::Pending => index += 1,
+                }
+            }
+        }
+        served
+    };
+    let (with, without) = (play(true), play(false));
+    println!("long and short calls served: {without:?} -> {with:?}");
+    assert!(with[1] * 10 > without[1] * 12, "{without:?} -> {with:?}");
+    assert!(with[0] * 10 >= without[0] * 7, "{without:?} -> {with:?}");
+}
+
 const LINK: LinkRate = LinkRate(10_000);
 
 /// Large answers are sent one after the other, with room on the link for small ones.
--- a/wisteriaturnd/src/gate/admit.rs
+++ b/wisteriaturnd/src/gate/admit.rs
@@ -118,7 +118,7 @@
     call: &GateCall,
     target: &LocalTarget,
 ) -> SlotRequest {
-    SlotRequest {
+    let request = SlotRequest {
         rank: if call.is_of_run {
             QueueRank::of_run(call.class)
         } else {
@@ -128,6 +128,11 @@
         deadline: call.deadline.at(),
         expected_run_time: expected_run_time(node, call, target),
         max_wait: call.max_wait,
+    };
+    if node.settings.placement.short_calls_first {
+        request.if_short(target.gate.load().mean_run_time)
+    } else {
+        request
     }
 }
 
--- a/wisteriaturnd/src/settings/mod.rs
+++ b/wisteriaturnd/src/settings/mod.rs
@@ -82,6 +82,9 @@
     pub shared_news: usize,
     /// Whether large answers are sent over a VM's link one after the other.
     pub paced_answers: bool,
+    /// Whether calls that run far shorter than the others of their target keep their place
+    /// when they are late.
+    pub short_calls_first: bool,
 }
 
 /// Validated timeouts, intervals and limits.
@@ -191,6 +194,7 @@
                     0..=MAX_NEWS as u64,
                 )? as usize,
                 paced_answers: raw.placement.paced_answers,
+                short_calls_first: raw.placement.short_calls_first,
             },
             extension: raw.extension,
             tuning,
--- a/wisteriaturnd/src/settings/raw.rs
+++ b/wisteriaturnd/src/settings/raw.rs
@@ -101,6 +101,8 @@
     pub shared_news: Option<u64>,
     /// Whether large answers are sent over a VM's link one after the other.
     pub paced_answers: bool,
+    /// Whether calls that run far shorter than the others keep their place when late.
+    pub short_calls_first: bool,
 }
 
 /// The `[log]` table.
