test: close a port at an address that no other test uses

The port was one of 127.0.0.1 that the system gives to any test that asks for one, and those run beside it; read, not shown by a run.

Change: the test binds an address of its own. What it asserts is the same.

--- a/tests/integration/process_stop.rs
+++ b/tests/integration/process_stop.rs
@@ -390,7 +390,8 @@
 
 #[tokio::test(flavor = "current_thread")]
 async fn connections_in_the_queue_of_a_closing_port_are_served() -> Result<()> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    // An address of its own: a test beside this one could be given the port once it is closed.
+    let listener = TcpListener::bind("127.77.0.1:0").await?;
     let address = listener.local_addr()?;
     // The runtime has looked at the queue once and does not look again before the port closes.
     tokio::select! {
