testing: apply resources by the tool in one place

Cause: the test of explain had repeated the steps by which the test of the path applies its resources through the command-line tool. Change: TestCluster::apply_resources serves both. A failing tool fails the test as before. Ruled out: TestCluster::apply, which goes to the admin API and not through the tool that these tests are also about.

--- a/testing/src/cluster.rs
+++ b/testing/src/cluster.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::Command;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -193,6 +194,18 @@
         Ok(())
     }
 
+    /// Applies resources by the command-line tool, and waits until the nodes have them.
+    pub fn apply_resources(&self, index: usize, resources: &str) -> Result<()> {
+        let file = self.folder.join("resources.toml");
+        std::fs::write(&file, resources)?;
+        let output = Command::new(program_path("wisteriaturn")?)
+            .args(["--node", &self.admin(index).to_string(), "apply", "--wait"])
+            .arg(&file)
+            .output()?;
+        eyre::ensure!(output.status.success(), "{output:?}");
+        Ok(())
+    }
+
     /// Starts the target that runs next to a node and announces itself to it.
     pub fn start_target(&mut self, index: usize, service: &str, slots: u16) -> Result<()> {
         let mut arguments = vec![
--- a/tests/integration/process_explain.rs
+++ b/tests/integration/process_explain.rs
@@ -46,13 +46,7 @@
         ..ClusterPlan::default()
     })
     .await?;
-    let file = cluster.folder.join("portal.toml");
-    std::fs::write(&file, RESOURCES)?;
-    let applied = Command::new(program_path("wisteriaturn")?)
-        .args(["--node", &cluster.admin(0).to_string(), "apply", "--wait"])
-        .arg(&file)
-        .output()?;
-    assert!(applied.status.success(), "{applied:?}");
+    cluster.apply_resources(0, RESOURCES)?;
     cluster.start_target(0, "portal", 6)?;
     cluster.start_target(1, "portal", 6)?;
     cluster.wait_targets(2, "portal", 2).await?;
--- a/tests/integration/process_path.rs
+++ b/tests/integration/process_path.rs
@@ -27,13 +27,7 @@
         ..ClusterPlan::default()
     })
     .await?;
-    let file = cluster.folder.join("portal.toml");
-    std::fs::write(&file, RESOURCES)?;
-    let applied = Command::new(program_path("wisteriaturn")?)
-        .args(["--node", &cluster.admin(0).to_string(), "apply", "--wait"])
-        .arg(&file)
-        .output()?;
-    assert!(applied.status.success(), "{applied:?}");
+    cluster.apply_resources(0, RESOURCES)?;
     cluster.start_target(0, "portal", 6)?;
     cluster.wait_targets(1, "portal", 1).await?;
 
