node: look up a roll-out in one place, call keepers suspected

Cause: four places copied a service's roll-out out of the board on their own, and the keepers of allowances that nobody could reach were "doubted", while members in that state are suspected. Change: NodeRollouts::get; the new names.

--- a/wisteriaturnd/src/admin/explain.rs
+++ b/wisteriaturnd/src/admin/explain.rs
@@ -146,7 +146,7 @@
     let name = &service.spec.name;
     let now = node.clock.now();
     let targets = view.targets(name);
-    let rollout = node.rollouts.with_board(|board| board.get(name).cloned());
+    let rollout = node.rollouts.get(name);
     // A copy, because a call on trial would count.
     let allowed = node
         .rollouts
--- a/wisteriaturnd/src/rollout/mod.rs
+++ b/wisteriaturnd/src/rollout/mod.rs
@@ -9,7 +9,7 @@
 use wisteriaturn::clock::lock;
 use wisteriaturn::config::view::TargetEntry;
 use wisteriaturn::ids::{Incarnation, NodeAddress, Offset, RouteName, ServiceName, TargetVersion};
-use wisteriaturn::rollout::board::RolloutBoard;
+use wisteriaturn::rollout::board::{RolloutBoard, ServiceRollout};
 use wisteriaturn::rollout::evidence::GateEvidence;
 use wisteriaturn::rollout::port::RolloutPort;
 use wisteriaturn::rollout::state::RolloutState;
@@ -53,6 +53,11 @@
         f(&mut lock(&self.board))
     }
 
+    /// Returns a copy of what this node knows of a service's roll-out, if there is one.
+    pub fn get(&self, service: &ServiceName) -> Option<ServiceRollout> {
+        lock(&self.board).get(service).cloned()
+    }
+
     /// Returns all states that this node knows.
     pub fn states(&self) -> Vec<RolloutState> {
         let board = lock(&self.board);
--- a/wisteriaturnd/src/rollout/task.rs
+++ b/wisteriaturnd/src/rollout/task.rs
@@ -161,10 +161,7 @@
 /// Logs the phase of a roll-out if it is another one than before.
 fn log_phase(node: &NodeHandle, service: &ServiceName, before: Option<(RolloutPhase, Permille)>) {
     let now = node.clock.now();
-    let Some(known) = node
-        .rollouts
-        .with_board(|board| board.get(service).cloned())
-    else {
+    let Some(known) = node.rollouts.get(service) else {
         return;
     };
     if before == Some((known.state.phase, known.state.share)) {
@@ -199,10 +196,7 @@
     let Some(version) = &target.version else {
         return;
     };
-    let Some(known) = node
-        .rollouts
-        .with_board(|board| board.get(service).cloned())
-    else {
+    let Some(known) = node.rollouts.get(service) else {
         return;
     };
     if known.state.phase.is_final() {
@@ -273,10 +267,7 @@
 async fn lead(node: &NodeHandle, service: &ServiceName) {
     let now = node.clock.now();
     let is_able = node.was_ready.load(Ordering::Acquire) && node.is_serving();
-    let Some(known) = node
-        .rollouts
-        .with_board(|board| board.get(service).cloned())
-    else {
+    let Some(known) = node.rollouts.get(service) else {
         return;
     };
     if known.state.phase.is_final() {
--- a/wisteriaturnd/src/team/keep.rs
+++ b/wisteriaturnd/src/team/keep.rs
@@ -21,7 +21,7 @@
 use crate::mesh::gossip;
 use crate::metrics::TrafficKind;
 use crate::node::NodeHandle;
-use crate::team::{DoubtedKeeper, KeeperState, WalletEntry};
+use crate::team::{KeeperState, SuspectedKeeper, WalletEntry};
 
 /// Number of nodes that may keep a team's allowance.
 const LINE_LENGTH: usize = 2;
@@ -29,10 +29,10 @@
 /// Interval at which roles are worked out anew.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time for a doubted keeper to answer.
+/// Time for a suspected keeper to answer.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(120);
 
-/// Age from which on a doubted keeper is asked again.
+/// Age from which on a suspected keeper is asked again.
 const MAX_CHECK_AGE: Duration = Duration::from_millis(250);
 
 /// Difference between the starts of two nodes up to which they have started together, in
@@ -209,7 +209,7 @@
             if !is_first_silent {
                 return None;
             }
-            doubt(node, first);
+            check_suspected(node, first);
             if !is_silent(node, first) {
                 return None;
             }
@@ -288,32 +288,32 @@
 fn is_silent(node: &NodeHandle, keeper: NodeAddress) -> bool {
     let now = node.clock.now();
     let state = lock(&node.teams.keeper);
-    state.doubted.get(&keeper).is_some_and(|doubted| {
-        let age = doubted
+    state.suspected.get(&keeper).is_some_and(|suspected| {
+        let age = suspected
             .checked_at
             .map(|checked_at| now.saturating_duration_since(checked_at));
-        doubted.is_silent && age.is_some_and(|age| age < MAX_CHECK_AGE * 4)
+        suspected.is_silent && age.is_some_and(|age| age < MAX_CHECK_AGE * 4)
     })
 }
 
 /// Asks a keeper that another node could not reach whether it is there, unless that was
 /// done a moment ago.
-fn doubt(node: &NodeHandle, first: NodeAddress) {
+fn check_suspected(node: &NodeHandle, first: NodeAddress) {
     let now = node.clock.now();
     {
         let mut state = lock(&node.teams.keeper);
-        let doubted = state.doubted.entry(first).or_insert(DoubtedKeeper {
+        let suspected = state.suspected.entry(first).or_insert(SuspectedKeeper {
             checked_at: None,
             is_silent: false,
             is_checking: false,
         });
-        let is_recent = doubted
+        let is_recent = suspected
             .checked_at
             .is_some_and(|at| now.saturating_duration_since(at) < MAX_CHECK_AGE);
-        if doubted.is_checking || is_recent {
+        if suspected.is_checking || is_recent {
             return;
         }
-        doubted.is_checking = true;
+        suspected.is_checking = true;
     }
     let node = node.clone();
     tokio::spawn(async move {
@@ -327,9 +327,9 @@
         }
         let now = node.clock.now();
         let mut state = lock(&node.teams.keeper);
-        let before = state.doubted.insert(
+        let before = state.suspected.insert(
             first,
-            DoubtedKeeper {
+            SuspectedKeeper {
                 checked_at: Some(now),
                 is_silent,
                 is_checking: false,
--- a/wisteriaturnd/src/team/mod.rs
+++ b/wisteriaturnd/src/team/mod.rs
@@ -49,12 +49,12 @@
     pub(crate) members: Option<(u64, Instant)>,
     /// Keepers that others could not reach, when this node last asked them itself, and
     /// whether they were silent.
-    pub(crate) doubted: BTreeMap<NodeAddress, DoubtedKeeper>,
+    pub(crate) suspected: BTreeMap<NodeAddress, SuspectedKeeper>,
 }
 
 /// A keeper that another node could not reach.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct DoubtedKeeper {
+pub(crate) struct SuspectedKeeper {
     pub(crate) checked_at: Option<Instant>,
     pub(crate) is_silent: bool,
     pub(crate) is_checking: bool,
