--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -202,6 +202,8 @@
     topics: Mutex<BTreeMap<String, Topic>>,
     grown: Condvar,
     mode: AtomicU8,
+    /// Whether the topic of the operator's records is down, and the rest is up.
+    is_operator_topic_down: AtomicBool,
     version: AtomicU64,
 }
 
@@ -212,6 +214,7 @@
             topics: Mutex::default(),
             grown: Condvar::new(),
             mode: AtomicU8::new(UP),
+            is_operator_topic_down: AtomicBool::new(false),
             version: AtomicU64::new(0),
         });
         let listener = TcpListener::bind(address).expect("store port");
@@ -233,16 +236,29 @@
         self.grown.notify_all();
     }
 
+    /// While the store is partly down, each call on the operator's topic is answered 503.
+    pub fn set_operator_topic_down(&self, is_down: bool) {
+        self.is_operator_topic_down.store(is_down, Ordering::SeqCst);
+        self.grown.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut writer = stream;
         while let Some(request) = read_message(&mut reader, false)? {
-            let (status, body) = if self.mode.load(Ordering::SeqCst) == BUSY {
+            let is_down = || {
+                self.is_operator_topic_down.load(Ordering::SeqCst)
+                    && request.first.contains("topic=keyed.op")
+            };
+            let (status, body) = if is_down() {
+                (503, Vec::new())
+            } else if self.mode.load(Ordering::SeqCst) == BUSY {
                 (503, Vec::new())
             } else {
                 let answer = self.answer(&request);
-                if self.mode.load(Ordering::SeqCst) == BUSY && request.first.starts_with("GET") {
+                let is_busy = self.mode.load(Ordering::SeqCst) == BUSY || is_down();
+                if is_busy && request.first.starts_with("GET") {
                     (503, Vec::new())
                 } else {
                     answer
@@ -324,7 +340,8 @@
         loop {
             let end = topics.get(topic).map_or(0, |topic| topic.records.len());
             let left = deadline.saturating_duration_since(Instant::now());
-            let is_up = self.mode.load(Ordering::SeqCst) == UP;
+            let is_up = self.mode.load(Ordering::SeqCst) == UP
+                && !self.is_operator_topic_down.load(Ordering::SeqCst);
             if from < end || left.is_zero() || !is_up {
                 let mut out = (end as u64).to_be_bytes().to_vec();
                 out.extend(0_u64.to_be_bytes());
