gate: wait for a second announcement after a restart

Cause: while the store is away, two other members hold a departure in its place. When all processes are killed, nothing holds it, and a started node took the next announcement, sent before the departure, for that of a running target.

Evidence: the record of the case. The store is down from 3.6 s, the departure is acknowledged at 3.9, all are killed at 4.4, the store is back at 5.3, the late announcement arrives at 8.6 and the first call at 9.0 s.

Change: a node that may have had an earlier run, since the directory has an entry of it or could not be read, refuses the first announcement of each incarnation with 503 and believes a later one. A target that has left sends none. A node without an entry has no departure held by members alone.

Ruled out: to doubt only after a noticed outage (the store may be back before the node starts), a check of health (waits for a slot, is billed, may be false), no acknowledgement in an outage (longer than the target waits).

--- a/src/gate/announce.rs
+++ b/src/gate/announce.rs
@@ -14,6 +14,9 @@
 //! node was restarted and has lost this state. Departures are therefore
 //! published in the node's member record and recorded in its entry of the
 //! directory. A node that starts gets them back from its entry or from its peers.
+//! A departure that could not be recorded there may be lost with all nodes that held
+//! it. After a restart, an incarnation therefore counts as running only from its second
+//! announcement on: a target that has left does not announce itself again.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -62,6 +65,8 @@
 pub struct AnnouncementTracker {
     instances: HashMap<InstanceId, InstanceState>,
     addresses: HashMap<SocketAddr, Incarnation>,
+    /// The last announcement of each instance that has arrived, accepted or not.
+    arrived: HashMap<InstanceId, (Incarnation, Sequence)>,
 }
 
 impl AnnouncementTracker {
@@ -73,19 +78,9 @@
     /// Records an announcement unless it is outdated. Returns `true` if it was
     /// accepted.
     pub fn accept(&mut self, announcement: AnnouncementSummary) -> bool {
-        let at_address = self.addresses.get(&announcement.address);
-        if at_address.is_some_and(|latest| *latest > announcement.incarnation) {
+        if self.is_outdated(&announcement) {
             return false;
         }
-        if let Some(state) = self.instances.get(&announcement.instance) {
-            let is_older_incarnation = announcement.incarnation < state.incarnation;
-            let is_same_incarnation = announcement.incarnation == state.incarnation;
-            let is_late =
-                is_same_incarnation && (state.has_left || announcement.sequence < state.sequence);
-            if is_older_incarnation || is_late {
-                return false;
-            }
-        }
         self.evict_oldest(&announcement.instance);
         self.addresses
             .insert(announcement.address, announcement.incarnation);
@@ -102,6 +97,49 @@
         true
     }
 
+    /// Returns `true` if a later announcement or a departure outranks this one.
+    pub fn is_outdated(&self, announcement: &AnnouncementSummary) -> bool {
+        let at_address = self.addresses.get(&announcement.address);
+        if at_address.is_some_and(|latest| *latest > announcement.incarnation) {
+            return true;
+        }
+        self.instances
+            .get(&announcement.instance)
+            .is_some_and(|state| {
+                let is_older_incarnation = announcement.incarnation < state.incarnation;
+                let is_same_incarnation = announcement.incarnation == state.incarnation;
+                let is_late = is_same_incarnation
+                    && (state.has_left || announcement.sequence < state.sequence);
+                is_older_incarnation || is_late
+            })
+    }
+
+    /// Notes that an announcement has arrived, whether or not it is accepted. Returns
+    /// `true` if it is not the only sign of its incarnation since this node started: an
+    /// earlier one has arrived, or one was accepted.
+    ///
+    /// An announcement that is repeated in transit has the same sequence number and
+    /// confirms nothing.
+    pub fn note_arrival(&mut self, announcement: &AnnouncementSummary) -> bool {
+        let arrival = (announcement.incarnation, announcement.sequence);
+        if self.arrived.len() >= MAX_TRACKED_INSTANCES
+            && !self.arrived.contains_key(&announcement.instance)
+        {
+            self.arrived.clear();
+        }
+        let last = self
+            .arrived
+            .entry(announcement.instance.clone())
+            .or_insert(arrival);
+        let is_confirmed = last.0 == arrival.0 && last.1 < arrival.1;
+        *last = (*last).max(arrival);
+        let is_known = self
+            .instances
+            .get(&announcement.instance)
+            .is_some_and(|state| state.incarnation == announcement.incarnation);
+        is_confirmed || is_known
+    }
+
     /// Returns the targets that are draining or have left, latest incarnation
     /// first, limited to [`MAX_DEPARTURES`].
     pub fn departures(&self) -> Vec<TargetDeparture> {
--- a/tests/integration/target_announcements.rs
+++ b/tests/integration/target_announcements.rs
@@ -84,6 +84,43 @@
     }
 }
 
+/// Guards against late announcements that bring back a target of which a restarted node
+/// knows nothing.
+#[yare::parameterized(
+    only_one = { &[(10, 5)], false },
+    delivered_twice = { &[(10, 5), (10, 5)], false },
+    out_of_order = { &[(10, 5), (10, 4)], false },
+    of_an_earlier_incarnation = { &[(10, 5), (9, 6)], false },
+    of_a_later_incarnation = { &[(10, 5), (11, 6)], false },
+    next_one = { &[(10, 5), (10, 6)], true },
+    next_one_after_a_late_one = { &[(10, 5), (10, 4), (10, 6)], true },
+    next_one_of_a_restarted_target = { &[(10, 5), (11, 0), (11, 1)], true },
+)]
+fn an_announcement_is_confirmed_by_an_earlier_one(arrivals: &[(u64, u64)], is_confirmed: bool) {
+    let mut tracker = AnnouncementTracker::new();
+    let confirmations: Vec<_> = arrivals
+        .iter()
+        .map(|(incarnation, sequence)| {
+            tracker.note_arrival(&announcement("a", *incarnation, *sequence, 80))
+        })
+        .collect();
+    let (last, earlier) = confirmations.split_last().expect("an arrival");
+    assert_eq!(*last, is_confirmed);
+    assert!(earlier.iter().all(|is_confirmed| !is_confirmed));
+}
+
+#[test]
+fn an_accepted_announcement_that_is_repeated_stays_confirmed() {
+    let mut tracker = AnnouncementTracker::new();
+    assert!(!tracker.note_arrival(&announcement("a", 10, 5, 80)));
+    assert!(tracker.accept(announcement("a", 10, 5, 80)));
+    assert!(tracker.note_arrival(&announcement("a", 10, 5, 80)));
+    for number in 0..2 * MAX_TRACKED_INSTANCES as u64 {
+        tracker.note_arrival(&announcement(&format!("t-{number}"), number, 0, 80));
+    }
+    assert!(tracker.note_arrival(&announcement("a", 10, 5, 80)));
+}
+
 #[test]
 fn departures_are_restored_after_a_node_restart() {
     let mut before = AnnouncementTracker::new();
--- a/wisteriaturnd/src/gate/targets.rs
+++ b/wisteriaturnd/src/gate/targets.rs
@@ -85,6 +85,9 @@
     Stale,
     /// This node has just started and does not know yet which targets left before.
     NotReady,
+    /// The first announcement of this target since this node was restarted, which may be
+    /// from before the target's departure.
+    Unconfirmed,
     /// The departure takes effect but could not be recorded outside of this node.
     Unrecorded,
 }
@@ -109,6 +112,12 @@
                     "the targets that left before this node started are not known yet"
                 )
             }
+            RegistrationError::Unconfirmed => {
+                write!(
+                    f,
+                    "the first announcement since this node was restarted may be outdated"
+                )
+            }
             RegistrationError::Unrecorded => {
                 write!(
                     f,
@@ -223,15 +232,25 @@
     node: &NodeHandle,
     announcement: &TargetAnnouncement,
 ) -> Result<(), RegistrationError> {
+    let summary = announcement.summary();
+    let is_confirmed = summary
+        .as_ref()
+        .is_none_or(|summary| lock(&node.announcements).note_arrival(summary));
     if !departures::wait_until_restored(node).await {
         return Err(RegistrationError::NotReady);
     }
     let now = node.clock.now();
     check_announcement(node, announcement)?;
-    if let Some(summary) = announcement.summary()
-        && !lock(&node.announcements).accept(summary)
-    {
-        return Err(RegistrationError::Stale);
+    if let Some(summary) = summary {
+        let mut announcements = lock(&node.announcements);
+        if announcements.is_outdated(&summary) {
+            return Err(RegistrationError::Stale);
+        }
+        // A draining target gets no calls, so believing it does no harm.
+        if !is_confirmed && !summary.is_draining && departures::may_be_forgotten(node) {
+            return Err(RegistrationError::Unconfirmed);
+        }
+        announcements.accept(summary);
     }
     let expires_at = now + node.settings.tuning.announce_ttl;
     let target = find_or_insert(node, announcement, expires_at)?;
--- a/wisteriaturnd/src/mesh/departures.rs
+++ b/wisteriaturnd/src/mesh/departures.rs
@@ -6,14 +6,20 @@
 //! acknowledged only when it is recorded outside of this process: in this node's entry of
 //! the directory or, while that cannot be written, with two other nodes.
 //!
+//! Those two may be killed together with this node before the directory can be written.
+//! A node that has an entry from an earlier run therefore takes the first announcement of
+//! a target as outdated and waits for the next one. Only a node that finds no entry of its
+//! own knows that there was no such run, and a node without an entry acknowledges nothing
+//! that the directory does not hold.
+//!
 //! The trade-off: each departure costs one write to the directory, and its acknowledgement
-//! waits for that. In return, a started node need not distrust the announcements of living
-//! targets, which would leave slots unused for a heartbeat after the loss of all nodes.
+//! waits for that; after a restart, a target serves one announcement later. A target that
+//! is told to try again does so within moments.
 //!
 //! See [docs/decisions/0018](../../../docs/decisions/0018-departures-outlive-nodes.md).
 
 use std::collections::BTreeSet;
-use std::sync::Mutex;
+use std::sync::{Mutex, OnceLock};
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -61,6 +67,9 @@
 pub struct DepartureRecords {
     /// Whether the departures from earlier runs of this node are known.
     pub is_restored: watch::Sender<bool>,
+    /// Whether the directory had an entry of this node when this run first read it. Not set
+    /// before that.
+    pub has_earlier_entry: OnceLock<bool>,
     /// The entry in the directory, or `None` if this run has not written it yet.
     pub stored: watch::Sender<Option<StoredEntry>>,
     /// Notified when the departures of this node have changed.
@@ -74,6 +83,7 @@
     pub fn new() -> Self {
         Self {
             is_restored: watch::Sender::new(false),
+            has_earlier_entry: OnceLock::new(),
             stored: watch::Sender::new(None),
             changed: Notify::new(),
             witnessed: Mutex::default(),
@@ -115,6 +125,19 @@
     timeout(RESTORE_TIMEOUT, waiting).await.is_ok()
 }
 
+/// Returns `true` if an earlier run of this node may have acknowledged a departure that is
+/// not recorded any more.
+pub(crate) fn may_be_forgotten(node: &NodeHandle) -> bool {
+    node.directory.is_some() && node.departures.has_earlier_entry.get() != Some(&false)
+}
+
+/// Returns `true` if the directory has an entry of this node, by which its next run knows
+/// that there was an earlier one.
+fn has_entry(node: &NodeHandle) -> bool {
+    node.departures.has_earlier_entry.get() == Some(&true)
+        || node.departures.stored.borrow().is_some()
+}
+
 /// Records the published departure of a target outside of this process. Returns `true`
 /// once it is recorded, and `false` if that fails for [`RECORD_TIMEOUT`].
 ///
@@ -127,7 +150,7 @@
     let place = timeout(RECORD_TIMEOUT, async {
         tokio::select! {
             () = wait_until_stored(node, instance) => RecordPlace::Directory,
-            () = wait_for_witnesses(node) => RecordPlace::Members,
+            () = wait_for_witnesses(node), if has_entry(node) => RecordPlace::Members,
         }
     })
     .await;
