--- a/src/ids.rs
+++ b/src/ids.rs
@@ -218,8 +218,8 @@
 
 fn check_host(raw: &[u8]) -> Result<(), NameError> {
     check_length(raw, MAX_PATH_BYTES)?;
-    check_bytes(raw, "a-z, 0-9, '-' and '.'", |byte| {
-        byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'-' | b'.')
+    check_bytes(raw, "a-z, 0-9, '-', '_' and '.'", |byte| {
+        byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'-' | b'_' | b'.')
     })
 }
 
