control: call a node ready only with a configuration in force

Cause: is_current asked whether a document was read, and two ready peers vouched for a node whatever it held.

Change: a node that follows documents is ready only once it holds a version. Until then it answers 503 (not-ready). /v1/status names the refused document, so that the operator need not search logs.

Before: a_node_that_has_refused_the_only_document_is_not_ready failed at is_ready (with the wait for the status, which is new, replaced by one for readiness). After: it passes.

--- a/wisteriaturnd/src/admin/view.rs
+++ b/wisteriaturnd/src/admin/view.rs
@@ -62,6 +62,7 @@
         "stage": format!("{:?}", node.current_stage()).to_lowercase(),
         "was_ready": node.was_ready.load(Ordering::Acquire),
         "version": view.config.version,
+        "refused": *lock(&node.source.refused),
         "services": view.config.services.len(),
         "routes": view.config.route_count(),
         "members": members,
--- a/wisteriaturnd/src/control/documents.rs
+++ b/wisteriaturnd/src/control/documents.rs
@@ -26,6 +26,7 @@
 };
 use wisteriaturn::peer::message::Datagram;
 
+use crate::control::source::RefusedDocument;
 use crate::jitter::jittered;
 use crate::mesh::gossip;
 use crate::mesh::peer_client;
@@ -200,6 +201,7 @@
             drop(store);
             if is_newer {
                 node.publish_view();
+                *lock(&node.source.refused) = None;
                 log::info!(event = "document-adopted", version:% = version, before:% = held; "config");
             }
         }
@@ -211,6 +213,10 @@
                 reason:% = rejection;
                 "config"
             );
+            *lock(&node.source.refused) = Some(RefusedDocument {
+                version,
+                reason: rejection.to_string(),
+            });
         }
     }
 }
@@ -320,9 +326,13 @@
     let _ = tokio::time::timeout(timeout, version.wait_for(Option::is_some)).await;
 }
 
-/// Returns `true` if this node has read a document from the source and holds at
-/// least `min_version`.
+/// Returns `true` if this node has read a document from the source, and a configuration
+/// that is at least as new as `min_version` is in force.
+///
+/// A document that was read and refused is not enough: without a configuration, every
+/// call would get the answer that its route does not exist.
 pub fn is_current(node: &NodeHandle, min_version: ConfigVersion) -> bool {
     let has_document = node.source.newest_version.borrow().is_some();
-    has_document && lock(&node.store).version() >= min_version
+    let held = lock(&node.store).version();
+    has_document && held > ConfigVersion(0) && held >= min_version
 }
--- a/wisteriaturnd/src/control/source.rs
+++ b/wisteriaturnd/src/control/source.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
+use serde::Serialize;
 use tokio::sync::watch;
 use wisteriaturn::clock::lock;
 use wisteriaturn::config::document::SourcePosition;
@@ -16,6 +17,15 @@
 /// reads plus a read.
 const OVERDUE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// A document that was refused as a whole.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct RefusedDocument {
+    /// Version of the document.
+    pub version: ConfigVersion,
+    /// Why it was refused.
+    pub reason: String,
+}
+
 /// The state of reading the document source. Each field is synchronized
 /// separately.
 #[derive(Debug)]
@@ -23,6 +33,8 @@
     /// Newest version that this node has read from the source, or `None` before
     /// the first read.
     pub newest_version: watch::Sender<Option<ConfigVersion>>,
+    /// The newest document that this node has read and refused, if it holds no later version.
+    pub refused: Mutex<Option<RefusedDocument>>,
     /// Era of the source as far as this node knows, or `None` before the first read.
     pub era: watch::Sender<Option<SourceEra>>,
     /// Whether this node currently reads the source itself.
@@ -49,6 +61,7 @@
     pub fn new() -> Self {
         Self {
             newest_version: watch::Sender::new(None),
+            refused: Mutex::default(),
             era: watch::Sender::new(None),
             is_reading: AtomicBool::new(false),
             answered_at: Mutex::default(),
--- a/wisteriaturnd/src/control/start.rs
+++ b/wisteriaturnd/src/control/start.rs
@@ -232,7 +232,10 @@
     round: u32,
 ) -> bool {
     let held = lock(&node.store).version();
-    if report.ready_peers >= MIN_READY_PEERS {
+    // Version 0 is the empty configuration of a folded log, which is one in force, but no
+    // document has it.
+    let has_configuration = node.documents.is_none() || held > ConfigVersion(0);
+    if report.ready_peers >= MIN_READY_PEERS && has_configuration {
         return held >= report.newest_version && held >= min_version;
     }
     if node.documents.is_some() {
