http: take an answer without a valid status for none

Cause: the HTTP library parses 100 to 999 and treats 101 as final, and the exchange took what it parsed. A stored answer with a status that the library refuses would have been replayed as 200.

Change: a final status outside of 200 to 599 loses the exchange, on both sides of the hop. The call may have run, so it is unknown unless it may be repeated.

--- a/tests/integration/edge_rules.rs
+++ b/tests/integration/edge_rules.rs
@@ -2,9 +2,12 @@
 //! connection, responses that may belong to another call, and durations in the
 //! settings.
 
+use bytes::Bytes;
 use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderValue};
-use hyper::{HeaderMap, Method, Response};
+use hyper::{HeaderMap, Method, Response, StatusCode};
 use proptest::prelude::*;
+use wisteriaturn::gate::ledger::StoredAnswer;
+use wisteriaturnd::gate::answer::stored_response;
 use wisteriaturnd::gate::answer_kind::AnswerKind;
 use wisteriaturnd::http::accept_encoding::AcceptedEncodings;
 use wisteriaturnd::http::headers::EdgeHeaders;
@@ -164,3 +167,20 @@
     let expected = millis.map(std::time::Duration::from_millis);
     assert_eq!(parse_duration(text), expected);
 }
+
+/// Guards against a stored answer whose status is none and that is replayed as a success.
+#[yare::parameterized(
+    zero = { 0 },
+    interim = { 101 },
+    above_the_classes = { 600 },
+    above_three_digits = { 2000 },
+)]
+fn a_stored_answer_without_a_valid_status_is_unknown(status: u16) {
+    let response = stored_response(&StoredAnswer {
+        status,
+        headers: Vec::new(),
+        body: Bytes::from_static(b"ok"),
+    });
+    assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+    assert_eq!(response.headers()["wisteriaturn-outcome"], "unknown");
+}
--- a/tests/integration/process_answers.rs
+++ b/tests/integration/process_answers.rs
@@ -200,3 +200,69 @@
     cluster.remove_folder();
     Ok(())
 }
+
+/// Guards against callers that get an answer whose status is none (RFC 9110, 15), or one
+/// that makes them take what follows for another protocol.
+#[parameterized(
+    zero = { "HTTP/1.1 000 None\r\ncontent-length: 2\r\n\r\nok" },
+    below_the_classes = { "HTTP/1.1 099 None\r\ncontent-length: 2\r\n\r\nok" },
+    two_digits = { "HTTP/1.1 20 OK\r\ncontent-length: 2\r\n\r\nok" },
+    four_digits = { "HTTP/1.1 2000 OK\r\ncontent-length: 2\r\n\r\nok" },
+    sign = { "HTTP/1.1 +20 OK\r\ncontent-length: 2\r\n\r\nok" },
+    letters = { "HTTP/1.1 2OO OK\r\ncontent-length: 2\r\n\r\nok" },
+    no_status = { "HTTP/1.1 \r\ncontent-length: 2\r\n\r\nok" },
+    interim_only = { "HTTP/1.1 199 Wait\r\n\r\n" },
+    unasked_upgrade = {
+        "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\nok"
+    },
+    unasked_upgrade_without_protocol = { "HTTP/1.1 101 Switching Protocols\r\n\r\nok" },
+    above_the_classes = { "HTTP/1.1 600 None\r\ncontent-length: 2\r\n\r\nok" },
+    highest_number = { "HTTP/1.1 999 None\r\ncontent-length: 2\r\n\r\nok" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn an_answer_without_a_valid_status_is_no_answer(start: &'static str) -> Result<()> {
+    for (method, ingress) in [("GET", 0), ("GET", 1), ("POST", 0), ("POST", 1)] {
+        let (status, outcome) = status_of(start, method, ingress).await?;
+        assert_eq!(
+            (status, outcome.as_str()),
+            (502, "unknown"),
+            "{method} at node {ingress}"
+        );
+    }
+    Ok(())
+}
+
+#[parameterized(
+    lowest = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", 200 },
+    highest = { "HTTP/1.1 599 Odd\r\ncontent-length: 2\r\n\r\nok", 599 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn an_answer_with_an_unusual_status_is_forwarded(
+    start: &'static str,
+    expected: u16,
+) -> Result<()> {
+    for (method, ingress) in [("GET", 0), ("POST", 1)] {
+        let (status, outcome) = status_of(start, method, ingress).await?;
+        assert_eq!((status, outcome.as_str()), (expected, "done"), "{method}");
+    }
+    Ok(())
+}
+
+/// Returns the status and outcome that a caller gets at a node when the target, which is
+/// beside the first of two nodes, answers with `start`.
+async fn status_of(start: &'static str, method: &str, ingress: usize) -> Result<(u16, String)> {
+    let cluster = TestCluster::start(ClusterPlan {
+        nodes: 2,
+        ..ClusterPlan::default()
+    })
+    .await?;
+    cluster
+        .add_service("portal", json!({ "deadline_ms": 2000 }))
+        .await?;
+    let target = RawTarget::start(start, AnswerEnd::Closed).await?;
+    target.announce(cluster.admin(0), "portal").await?;
+    cluster.wait_targets(1, "portal", 1).await?;
+    let reply = client::send(cluster.ingress(ingress), method, "/portal", &[], b"").await?;
+    cluster.remove_folder();
+    Ok((reply.status, reply.outcome().to_owned()))
+}
--- a/wisteriaturnd/src/gate/answer.rs
+++ b/wisteriaturnd/src/gate/answer.rs
@@ -10,6 +10,7 @@
 use wisteriaturn::peer::message::InquiryAnswer;
 
 use crate::http::body::{NodeBody, full};
+use crate::http::exchange::is_final_status;
 use crate::http::headers;
 use crate::node::NodeState;
 
@@ -85,10 +86,16 @@
     response
 }
 
-/// Returns a stored answer as a response.
+/// Returns a stored answer as a response. One without a valid status is reported as lost,
+/// since it says nothing about the outcome.
 pub fn stored_response(answer: &StoredAnswer) -> Response<NodeBody> {
+    let status = StatusCode::from_u16(answer.status).ok();
+    let Some(status) = status.filter(|status| is_final_status(*status)) else {
+        log::error!(event = "stored-status-invalid", status = answer.status; "gate");
+        return refusal(CallOutcome::Unknown, RefusalReason::TargetLost);
+    };
     let mut response = Response::new(full(answer.body.clone()));
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    *response.status_mut() = status;
     let headers = response.headers_mut();
     for (name, value) in &answer.headers {
         let name = HeaderName::from_bytes(name);
--- a/wisteriaturnd/src/http/exchange.rs
+++ b/wisteriaturnd/src/http/exchange.rs
@@ -26,8 +26,19 @@
     Lost(LinkError),
 }
 
+/// Returns `true` if a response with this status ends an exchange.
+///
+/// Numbers above the classes are no status (RFC 9110, section 15). Of the interim ones, 101
+/// ends an exchange only if the request asked for another protocol, and none does: a caller
+/// that got it would take the bytes that follow for that protocol.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Sends a request and returns the response, whose body is not read yet.
 ///
+/// A response without a valid status counts as lost: the request may have run.
+///
 /// [`pooled_body`] returns the connection to its pool once the body is read.
 ///
 /// # Errors
@@ -40,6 +51,12 @@
 ) -> Result<Response<Incoming>, ExchangeError> {
     watch_interim_responses(&mut request, connection.abort.clone());
     match connection.sender.try_send_request(request).await {
+        Ok(response) if !is_final_status(response.status()) => {
+            let status = response.status().as_u16();
+            log::warn!(event = "status-invalid", status = status; "http");
+            let error = format!("status {status} ends no exchange, allowed: 200 to 599");
+            Err(ExchangeError::Lost(LinkError::Lost(error)))
+        }
         Ok(response) => {
             connection.apply_keep_alive(response.headers());
             Ok(response)
