--- a/tests/integration/process_answers.rs
+++ b/tests/integration/process_answers.rs
@@ -169,17 +169,7 @@
     start: &'static str,
     end: AnswerEnd,
 ) -> Result<()> {
-    let cluster = TestCluster::start(ClusterPlan {
-        nodes: 2,
-        ..ClusterPlan::default()
-    })
-    .await?;
-    cluster
-        .add_service("portal", json!({ "deadline_ms": 2000 }))
-        .await?;
-    let target = RawTarget::start(start, end).await?;
-    target.announce(cluster.admin(0), "portal").await?;
-    cluster.wait_targets(1, "portal", 1).await?;
+    let (cluster, target) = raw_target_cluster(start, end).await?;
     for method in ["GET", "POST"] {
         // An error means that the node broke off its own answer.
         if let Ok(reply) = client::send(cluster.ingress(1), method, "/portal", &[], b"").await {
@@ -248,9 +238,11 @@
     Ok(())
 }
 
-/// Returns the status and outcome that a caller gets at a node when the target, which is
-/// beside the first of two nodes, answers with `start`.
-async fn status_of(start: &'static str, method: &str, ingress: usize) -> Result<(u16, String)> {
+/// Starts two nodes, the first of which has a target that answers with fixed bytes.
+async fn raw_target_cluster(
+    start: &'static str,
+    end: AnswerEnd,
+) -> Result<(TestCluster, RawTarget)> {
     let cluster = TestCluster::start(ClusterPlan {
         nodes: 2,
         ..ClusterPlan::default()
@@ -259,9 +251,16 @@
     cluster
         .add_service("portal", json!({ "deadline_ms": 2000 }))
         .await?;
-    let target = RawTarget::start(start, AnswerEnd::Closed).await?;
+    let target = RawTarget::start(start, end).await?;
     target.announce(cluster.admin(0), "portal").await?;
     cluster.wait_targets(1, "portal", 1).await?;
+    Ok((cluster, target))
+}
+
+/// Returns the status and outcome that a caller gets at a node when the target, which is
+/// beside the first of two nodes, answers with `start`.
+async fn status_of(start: &'static str, method: &str, ingress: usize) -> Result<(u16, String)> {
+    let (cluster, _target) = raw_target_cluster(start, AnswerEnd::Closed).await?;
     let reply = client::send(cluster.ingress(ingress), method, "/portal", &[], b"").await?;
     cluster.remove_folder();
     Ok((reply.status, reply.outcome().to_owned()))
--- a/wisteriaturnd/src/mesh/directory.rs
+++ b/wisteriaturnd/src/mesh/directory.rs
@@ -205,8 +205,7 @@
     let own = records
         .iter()
         .find(|record| record.address == node.address());
-    // Only the first read tells whether there was an earlier run: this run writes an entry
-    // after it.
+    // After its first read, this run writes an entry of its own.
     let is_first_read = node.departures.has_earlier_entry.set(own.is_some()).is_ok();
     if is_first_read {
         log::info!(event = "earlier-entry", found = own.is_some(); "member");
